Prove coordination under every fault, and mend what that found

Cause: nothing showed that leases, seats, shares and slots hold under faults. The node's decisions are now free of I/O, so that tests feed them faults on a virtual clock. (2) After a change of seats the former seats had to agree for ever, so a fleet whose founder died never gave up its seat; settled heads ask the present seats only. (4) Two VMs with half of the load each got uneven shares; a lender divides by what borrowers want. Not proved: clocks that run at different rates; more than 6 VMs at once.

--- a/packages/berylbank/src/berylbank/_internal/models/seating.py
+++ b/packages/berylbank/src/berylbank/_internal/models/seating.py
@@ -47,13 +47,16 @@
 
 
 def settle_rights(head: Head, configuration: Configuration) -> Head | None:
-    """Give every seat its target share and every group an owner; None where all is settled."""
+    """Give every seat its target share and every group an owner; None where all is settled.
+
+    Written only on a head that is in force, so the VMs seated before it need not be asked again.
+    """
     targets = target_shares(head.vms())
     seats = tuple(seat._replace(share=targets[seat.vm]) for seat in head.seats)
     owners = _settle_owners(head, configuration)
     if seats == head.seats and owners == head.owners:
         return None
-    return head._replace(number=head.number + 1, seats=seats, owners=owners)
+    return head._replace(number=head.number + 1, seats=seats, owners=owners, prior_vms=())
 
 
 def _settle_owners(head: Head, configuration: Configuration) -> dict[str, str]:
--- a/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
@@ -42,6 +42,7 @@
 
     def __init__(self, stream: SocketStream, now_ms: int) -> None:
         self.stream = stream
+        self.descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
         self.protocol = h11.Connection(h11.CLIENT)
         self.opened_ms = now_ms
         self.idle_since_ms = now_ms
--- a/packages/berylbankd/src/berylbankd/_internal/backends/pool.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/pool.py
@@ -2,9 +2,6 @@
 
 import select
 
-import anyio
-from anyio.abc import SocketAttribute
-
 from berylbankd._internal.backends.connection import BackendConnection
 
 MAX_AGE_MS = 60_000
@@ -63,12 +60,6 @@
 
 def _has_pending_input(connection: BackendConnection) -> bool:
     """Tell whether the other end has closed or sent something unasked."""
-    try:
-        descriptor = connection.stream.extra(SocketAttribute.raw_socket).fileno()
-    except (OSError, anyio.ClosedResourceError):
-        return True
-    if descriptor < 0:
-        return True
     poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
+    poll.register(connection.descriptor, select.POLLIN)
     return bool(poll.poll(0))
--- a/packages/berylbankd/src/berylbankd/_internal/backends/slots.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/slots.py
@@ -10,10 +10,9 @@
 from berylbankd._internal.authority.timing import Timing
 from berylbankd._internal.backends.health import BackendHealth
 from berylbankd._internal.loans.desk import Want
-from berylbankd._internal.loans.ledger import Borrower, Lender, RequestMark
+from berylbankd._internal.loans.ledger import REPLY_TIMEOUT_MS, Borrower, Lender, RequestMark
 
 PREFIX = "slots"
-ASK_GAP_MS = 20
 SPARE_MEMORY_MS = 300
 PEAK_MEMORY_MS = 2_000
 UNMET_MEMORY_MS = 1_000
@@ -199,7 +198,8 @@
             want = held - given_up + extra.get(pool.backend.name, 0)
             renew_before_ms = now_ms + int(self.timing.loan_ms * RENEW_PART)
             due = held and pool.borrower.held_until(owner) < renew_before_ms
-            if (want != held or due) and now_ms - pool.asked_ms >= ASK_GAP_MS:
+            waits = pool.borrower.waits_for(owner, now_ms - REPLY_TIMEOUT_MS)
+            if (want != held or due) and not waits:
                 yield Want(owner, pool.resource, want)
 
     def _choose_extra(self, pools: list[SlotPool], missing: int, now_ms: int) -> dict[str, int]:
--- a/packages/berylbankd/src/berylbankd/_internal/changes/writer.py
+++ b/packages/berylbankd/src/berylbankd/_internal/changes/writer.py
@@ -81,7 +81,9 @@
         platform: Platform,
         read_head: Callable[[], Awaitable[StoredHead]],
         randomness: random.Random,
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
     ) -> None:
+        self.sleep = sleep
         self.platform = platform
         self.read_head = read_head
         self.randomness = randomness
@@ -95,7 +97,7 @@
         in_doubt = False
         for attempt in range(ATTEMPTS):
             if attempt:
-                await anyio.sleep(PAUSE_S * 2**attempt * (0.5 + self.randomness.random()))
+                await self.sleep(PAUSE_S * 2**attempt * (0.5 + self.randomness.random()))
             try:
                 stored = await self.read_head()
                 found = _find(stored, operation_id)
--- a/packages/berylbankd/src/berylbankd/_internal/entry/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/app.py
@@ -75,7 +75,7 @@
         body = refusal.body(exchange.request_id)
         exchange.status = refusal.text.status
         headers = refusal.headers(len(body))
-        if not exchange.body_complete or self.coordinator.leaving:
+        if not exchange.body_complete or self.coordinator.node.leaving:
             headers.append((b"connection", b"close"))
         await exchange.send(
             {"type": "http.response.start", "status": exchange.status, "headers": headers}
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -206,7 +206,7 @@
         connection: BackendConnection,
         head: ResponseHead,
     ) -> None:
-        headers = response_headers(head.headers, exchange.request_id, self.coordinator.leaving)
+        headers = response_headers(head.headers, exchange.request_id, self.coordinator.node.leaving)
         exchange.status = head.status
         exchange.answering = True
         await exchange.send(
--- a/packages/berylbankd/src/berylbankd/_internal/entry/filters.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/filters.py
@@ -95,7 +95,7 @@
         if exchange.grant is None:
             return None
         assert exchange.service is not None
-        rates = self.coordinator.rates
+        rates = self.coordinator.node.rates
         bucket = rates.find(exchange.grant.organisation, exchange.service.name)
         if bucket is None:
             return Refusal(RefusalKind.NOT_ENTITLED)
--- a/packages/berylbankd/src/berylbankd/_internal/entry/lookup.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/lookup.py
@@ -51,7 +51,7 @@
         """
         ready = [self._entry(seat.vm, region) for seat in self._seats() if self._is_ready(seat.vm)]
         if not ready:
-            own = self.coordinator.vm
+            own = self.coordinator.node.vm
             ready = [self._entry(seat.vm, region) for seat in self._seats() if seat.vm != own]
         return sorted(ready, key=lambda vm: (-vm.weight, vm.address))
 
@@ -69,13 +69,15 @@
         return head.seats if head is not None else ()
 
     def _is_ready(self, vm: str) -> bool:
-        if vm == self.coordinator.vm:
-            return self.coordinator.is_ready()
-        peer = self.coordinator.peers.get(vm)
+        if vm == self.coordinator.node.vm:
+            return self.coordinator.node.is_ready()
+        peer = self.coordinator.node.peers.get(vm)
         if peer is None or peer.heard_ms is None:
             return False
         silent_ms = self.coordinator.clock.now_ms() - peer.heard_ms
-        return peer.ready and not peer.leaving and silent_ms < self.coordinator.timing.suspect_ms
+        return (
+            peer.ready and not peer.leaving and silent_ms < self.coordinator.node.timing.suspect_ms
+        )
 
     def _entry(self, vm: str, region: str) -> EntryVm:
         head = self.coordinator.authority.head
--- a/packages/berylbankd/src/berylbankd/_internal/entry/slot_gate.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/slot_gate.py
@@ -33,7 +33,7 @@
         self, service: Service, organisation: str, weight: int, excluded: frozenset[str]
     ) -> SlotPool | None:
         """Return a pool with one more slot in use, or None when none came free in time."""
-        slots = self.coordinator.slots.services.get(service.name)
+        slots = self.coordinator.node.slots.services.get(service.name)
         if slots is None:
             return None
         queue = self.queues.setdefault(service.name, FairQueue(MAX_WAITING_PER_ORGANISATION))
@@ -52,7 +52,7 @@
 
         One request at a time goes to each backend server, outside its grants.
         """
-        slots = self.coordinator.slots.services.get(service.name)
+        slots = self.coordinator.node.slots.services.get(service.name)
         now_ms = self.coordinator.clock.now_ms()
         for pool in slots.pools if slots is not None else []:
             free = pool.in_use < OPEN_ALLOWANCE and pool.is_usable(now_ms)
@@ -96,7 +96,7 @@
                 queue.remove(organisation, waiter)
 
     def _serve(self, name: str) -> None:
-        slots = self.coordinator.slots.services.get(name)
+        slots = self.coordinator.node.slots.services.get(name)
         queue = self.queues[name]
         if slots is None:
             return
--- a/packages/berylbankd/src/berylbankd/_internal/loans/ledger.py
+++ b/packages/berylbankd/src/berylbankd/_internal/loans/ledger.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+REPLY_TIMEOUT_MS = 400
+
 
 class LentRecord(NamedTuple):
     """Units that a borrower may hold until ``until_ms`` on the lender's clock."""
--- a/packages/berylbankd/src/berylbankd/_internal/operators/views.py
+++ b/packages/berylbankd/src/berylbankd/_internal/operators/views.py
@@ -13,14 +13,14 @@
     authority = coordinator.authority
     head = authority.head
     return {
-        "vm": coordinator.vm,
+        "vm": coordinator.node.vm,
         "head": head.number if head is not None else 0,
         "known": authority.known,
         "may_act": authority.may_act(now_ms),
         "warm": authority.warm,
         "lease_ms_left": max(0, authority.lease_until_ms - now_ms),
         "store_answers": authority.store_answers(now_ms),
-        "leaving": coordinator.leaving,
+        "leaving": coordinator.node.leaving,
         "running": running,
         "seats": encode(head.seats) if head is not None else [],
         "owners": dict(head.owners) if head is not None else {},
@@ -48,16 +48,16 @@
 
 def view_drain(coordinator: Coordinator, backend: str) -> dict[str, Any] | None:
     """Return how many requests still run on a draining backend server, by VM."""
-    pool = coordinator.slots.pools.get(backend)
+    pool = coordinator.node.slots.pools.get(backend)
     if pool is None:
         return None
     running = {
         vm: counts[backend]
-        for vm, counts in coordinator.peer_in_flight.items()
+        for vm, counts in coordinator.node.peer_in_flight.items()
         if counts.get(backend)
     }
     if pool.in_use:
-        running[coordinator.vm] = pool.in_use
+        running[coordinator.node.vm] = pool.in_use
     silent = _silent_vms(coordinator, backend)
     done = pool.backend.draining and not running and not silent
     return {
@@ -72,8 +72,8 @@
 def _silent_vms(coordinator: Coordinator, backend: str) -> list[str]:
     """Return the seated VMs that have not reported on the drain of ``backend``."""
     head = coordinator.authority.head
-    vms = head.vms() - {coordinator.vm} if head is not None else frozenset()
-    return sorted(vm for vm in vms if backend not in coordinator.peer_in_flight.get(vm, {}))
+    vms = head.vms() - {coordinator.node.vm} if head is not None else frozenset()
+    return sorted(vm for vm in vms if backend not in coordinator.node.peer_in_flight.get(vm, {}))
 
 
 def _view_peers(coordinator: Coordinator, now_ms: int) -> list[dict[str, Any]]:
@@ -85,7 +85,7 @@
             "leaving": peer.leaving,
             "known": peer.known,
         }
-        for vm, peer in sorted(coordinator.peers.items())
+        for vm, peer in sorted(coordinator.node.peers.items())
     ]
 
 
@@ -101,7 +101,7 @@
             "usable": pool.is_usable(now_ms),
             "latency_ms": round(pool.health.latency_ms, 1),
         }
-        for name, pool in sorted(coordinator.slots.pools.items())
+        for name, pool in sorted(coordinator.node.slots.pools.items())
     ]
 
 
@@ -114,5 +114,5 @@
             "tokens": bucket.tokens / TOKEN,
             "waiting": len(bucket.waiters),
         }
-        for name, bucket in sorted(coordinator.rates.buckets.items())
+        for name, bucket in sorted(coordinator.node.rates.buckets.items())
     ]
--- a/packages/berylbankd/src/berylbankd/_internal/rates/book.py
+++ b/packages/berylbankd/src/berylbankd/_internal/rates/book.py
@@ -8,12 +8,11 @@
 from berylbankd._internal.authority.authority import Authority
 from berylbankd._internal.authority.timing import Timing
 from berylbankd._internal.loans.desk import Want
-from berylbankd._internal.loans.ledger import RequestMark
+from berylbankd._internal.loans.ledger import REPLY_TIMEOUT_MS, RequestMark
 from berylbankd._internal.rates.bucket import Bucket
 
 PREFIX = "rate"
 RENEW_PART = 0.5
-ASK_GAP_MS = 30
 SPARE_MEMORY_MS = 400
 
 
@@ -147,24 +146,20 @@
         peers = self.peers()
         missing = need - bucket.own_left(now_ms)
         renew_before_ms = now_ms + int(self.timing.loan_ms * RENEW_PART)
-        if missing > 0 and not self._may_ask(bucket, now_ms):
-            return
         extra = self._divide(bucket, max(0, missing - bucket.borrower.held(now_ms)), peers)
         for lender in peers:
+            if bucket.borrower.waits_for(lender, now_ms - REPLY_TIMEOUT_MS):
+                continue
             held = bucket.borrower.held_from(lender, now_ms)
             keep = min(held, max(0, missing))
             missing -= keep
-            want = keep + extra.get(lender, 0)
+            more = extra.get(lender, 0)
             due = keep and bucket.borrower.held_until(lender) < renew_before_ms
-            if want != held or due:
+            if more or due:
+                want = (keep if due else held) + more
+                self.asked_ms[bucket.resource] = now_ms
                 yield Want(lender, bucket.resource, want)
 
-    def _may_ask(self, bucket: Bucket, now_ms: int) -> bool:
-        if now_ms - self.asked_ms.get(bucket.resource, -ASK_GAP_MS) < ASK_GAP_MS:
-            return False
-        self.asked_ms[bucket.resource] = now_ms
-        return True
-
     def _divide(self, bucket: Bucket, missing: int, peers: tuple[str, ...]) -> dict[str, int]:
         """Spread what is missing over the peers, by what each last said it can spare."""
         if missing <= 0 or not peers:
--- a/packages/berylbankd/src/berylbankd/_internal/rates/bucket.py
+++ b/packages/berylbankd/src/berylbankd/_internal/rates/bucket.py
@@ -12,8 +12,20 @@
 from berylbankd._internal.loans.ledger import Borrower, Lender
 
 TOKEN = 1_000_000
-DEMAND_HORIZON_MS = 1_000
-DEMAND_MARGIN = 1.25
+DEMAND_WINDOW_MS = 1_000
+SHORTEST_SAMPLE_MS = 250
+DEMAND_KEPT = 0.7
+DEMAND_NONE = 0.01
+DEMAND_MARGIN = 1.15
+WAITER_MARGIN = 2
+ASK_MEMORY_MS = 1_000
+
+
+class Ask(NamedTuple):
+    """What a borrower wanted in all when it last asked."""
+
+    want: int
+    at_ms: int
 
 
 class Lent(NamedTuple):
@@ -51,7 +63,7 @@
         self.demand = 0.0
         self.demand_ms = 0
         self.arrivals = 0
-        self.urgent = False
+        self.asks: dict[str, Ask] = {}
 
     def own_left(self, now_ms: int) -> int:
         """Return the part of the own share that is not lent."""
@@ -96,16 +108,18 @@
 
     def note_arrival(self, now_ms: int) -> None:
         """Count a request towards the demand."""
-        self._decay_demand(now_ms)
+        self._roll_demand(now_ms)
         self.arrivals += 1
 
     def need(self, now_ms: int) -> int:
         """Return the share that the demand of this VM asks for."""
-        self._decay_demand(now_ms)
-        expected = max(self.demand, float(self.arrivals) * 1000 / DEMAND_HORIZON_MS)
+        self._roll_demand(now_ms)
+        elapsed_ms = max(SHORTEST_SAMPLE_MS, now_ms - self.demand_ms)
+        expected = max(self.demand, self.arrivals * 1000 / elapsed_ms)
         share = expected * DEMAND_MARGIN / self.rate
         if self.waiters:
-            share = max(share, len(self.waiters) / self.burst)
+            short = WAITER_MARGIN * len(self.waiters) / self.burst
+            share = max(share, self.held(now_ms) / SHARE_UNITS + short)
         return min(SHARE_UNITS, int(share * SHARE_UNITS + 0.5))
 
     def lend(self, borrower: str, want: int, until_ms: int, now_ms: int) -> Lent:
@@ -115,7 +129,9 @@
         """
         current = self.lender.lent_to(borrower, now_ms)
         before = self.held(now_ms)
-        units = max(0, min(want, current + self.spare(now_ms)))
+        self.asks[borrower] = Ask(want, now_ms)
+        most = min(current + self.spare(now_ms), self._fair_part(want, now_ms))
+        units = max(0, min(want, most))
         self.lender.lend(borrower, units, until_ms, now_ms)
         moved = 0
         if units > current and before > 0:
@@ -124,6 +140,12 @@
         self.tokens = min(self.tokens, self.capacity(now_ms))
         return Lent(units, moved)
 
+    def _fair_part(self, want: int, now_ms: int) -> int:
+        """Return what ``want`` may get of the share that all recent borrowers ask for."""
+        wanted = sum(a.want for a in self.asks.values() if now_ms - a.at_ms < ASK_MEMORY_MS)
+        lendable = max(0, self.own_share - self.need(now_ms))
+        return want if wanted <= lendable else lendable * want // wanted
+
     def spare(self, now_ms: int) -> int:
         """Return how much more of the own share could be lent; negative when short."""
         own = self.own_share - self.lender.lent(now_ms)
@@ -142,11 +164,13 @@
         minted_per_ms = self.rate * self.held(now_ms) / 1000
         return missing / minted_per_ms if minted_per_ms else float("inf")
 
-    def _decay_demand(self, now_ms: int) -> None:
+    def _roll_demand(self, now_ms: int) -> None:
+        """Close a window of arrivals; demand rises at once and falls slowly."""
         elapsed_ms = now_ms - self.demand_ms
-        if elapsed_ms < DEMAND_HORIZON_MS:
+        if elapsed_ms < DEMAND_WINDOW_MS:
             return
         fresh = self.arrivals * 1000 / elapsed_ms
-        self.demand = fresh if elapsed_ms > 2 * DEMAND_HORIZON_MS else (self.demand + fresh) / 2
+        faded = self.demand * DEMAND_KEPT ** (elapsed_ms / DEMAND_WINDOW_MS)
+        self.demand = max(fresh, faded) if max(fresh, faded) > DEMAND_NONE else 0.0
         self.arrivals = 0
         self.demand_ms = now_ms
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces of the daemon."""
--- /dev/null
+++ b/tests/support/mutations.py
@@ -0,0 +1,116 @@
+"""Deliberate faults in the daemon's rules: each must make the campaign fail."""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from typing import Any
+from unittest import mock
+
+from berylbank._internal.wire.messages import ConfirmReply
+from berylbankd._internal.authority.acceptance import Acceptance
+from berylbankd._internal.authority.authority import Authority
+from berylbankd._internal.authority.seating import SeatKeeper
+from berylbankd._internal.authority.timing import Timing
+from berylbankd._internal.loans.ledger import Borrower, Lender, Loan
+from berylbankd._internal.rates.book import RateBook
+from berylbankd._internal.rates.bucket import Bucket
+
+ORIGINAL_INIT = Authority.__init__
+ORIGINAL_SETTLE = Bucket.settle
+ORIGINAL_JUDGE = Acceptance._judge
+
+
+def _confirm_below(self: Authority, request: Any) -> ConfirmReply:
+    return ConfirmReply(request.round_id, request.number, self.warm)
+
+
+def _accept_alone(self: Acceptance, now_ms: int) -> None:
+    self.accepted_ms = self.accepted_ms if self.accepted_ms is not None else now_ms
+    ORIGINAL_JUDGE(self, now_ms)
+
+
+def _in_force_at_once(self: Acceptance, now_ms: int) -> None:
+    ORIGINAL_JUDGE(self, now_ms)
+    if self.accepted_ms is not None:
+        self.in_force_ms = self.in_force_ms or now_ms
+
+
+def _vouch_at_start(self: Authority, *arguments: Any) -> None:
+    ORIGINAL_INIT(self, *arguments)
+    self.warm = True
+
+
+def _lease_from_answer(self: Authority, _started_ms: int, now_ms: int) -> None:
+    self.lease_epoch += now_ms >= self.lease_until_ms
+    self.lease_until_ms = now_ms + self.timing.lease_ms
+
+
+def _loan_from_answer(self: Borrower, lender: str, request_id: int, units: int, spare: int) -> bool:
+    sent = self.requests.get(lender)
+    if sent is None or sent.request_id != request_id:
+        return False
+    del self.requests[lender]
+    self.spare[lender] = spare
+    self.loans[lender] = Loan(units, sent.sent_ms + 3 * self.term_ms)
+    return True
+
+
+def _any_reply(self: Borrower, lender: str, _request_id: int, units: int, spare: int) -> bool:
+    sent = self.requests.get(lender)
+    if sent is None:
+        return False
+    self.spare[lender] = spare
+    self.loans[lender] = Loan(units, sent.sent_ms + self.term_ms)
+    return True
+
+
+def _keep_tokens(self: Bucket, now_ms: int, lease_until_ms: int, lease_epoch: int) -> None:
+    if self.lease_epoch != -1:
+        self.lease_epoch = lease_epoch
+    ORIGINAL_SETTLE(self, now_ms, lease_until_ms, lease_epoch)
+
+
+def _mint_at_once(self: RateBook, now_ms: int) -> None:
+    head = self.authority.head
+    if head is None:
+        return
+    if head.number != self.applied_number:
+        self._rebuild(self.authority.configuration)
+        self.applied_number = head.number
+    seat = head.seat_of(self.authority.vm)
+    for bucket in self.buckets.values():
+        self._settle(bucket, now_ms)
+        bucket.own_share = seat.share if seat is not None else 0
+
+
+def _settle_early(self: SeatKeeper, timing: Timing, *arguments: Any) -> None:
+    KEEPER_INIT(self, timing._replace(loan_lapse_ms=0), *arguments)
+
+
+def _no_quarantine(self: Authority, vm: str, timing: Timing, *arguments: Any) -> None:
+    ORIGINAL_INIT(self, vm, timing._replace(quarantine_ms=0), *arguments)
+
+
+KEEPER_INIT = SeatKeeper.__init__
+
+MUTATIONS: dict[str, tuple[type, str, Callable[..., Any]]] = {
+    "a VM confirms heads below its own": (Authority, "on_confirm_request", _confirm_below),
+    "a head is accepted without a majority": (Acceptance, "_judge", _accept_alone),
+    "a head is in force once accepted": (Acceptance, "_judge", _in_force_at_once),
+    "a restarted VM vouches at once": (Authority, "__init__", _vouch_at_start),
+    "a restarted VM asks at once": (Authority, "__init__", _no_quarantine),
+    "a lease counts from the answer": (Authority, "_extend_lease", _lease_from_answer),
+    "a loan outlives its term": (Borrower, "on_reply", _loan_from_answer),
+    "a late reply counts": (Borrower, "on_reply", _any_reply),
+    "a lender keeps what it lent": (Lender, "lent", lambda _self, _now_ms: 0),
+    "tokens survive a lapsed lease": (Bucket, "settle", _keep_tokens),
+    "a restarted VM mints at once": (RateBook, "refresh", _mint_at_once),
+    "rights are settled before loans lapse": (SeatKeeper, "__init__", _settle_early),
+}
+
+
+@contextlib.contextmanager
+def mutated(name: str) -> Iterator[None]:
+    """Apply a mutation for a while."""
+    owner, attribute, replacement = MUTATIONS[name]
+    with mock.patch.object(owner, attribute, replacement):
+        yield
--- /dev/null
+++ b/tests/unit/rates/rates.feature
@@ -0,0 +1,33 @@
+Feature: Rates and bursts over all VMs together
+
+  Scenario Outline: callers on <spread> of five VMs get their rate and no more
+    Given a settled fleet of 5 VMs
+    When callers on <spread> VMs ask at <part> of the rate for 20 s
+    Then no window of time got more than rate and burst
+    And at most <refused> in a thousand were refused in the steady part
+
+    Examples:
+      | spread | part | refused |
+      | 1      | 0.9  | 1       |
+      | 2      | 0.9  | 1       |
+      | 5      | 0.9  | 1       |
+      | 1      | 5.0  | 1000    |
+      | 3      | 5.0  | 1000    |
+
+  Scenario: a burst at one VM is served from all shares
+    Given a settled fleet of 5 VMs
+    When a burst of 12 requests comes to one idle VM
+    Then at least 11 of them are granted within 250 ms
+    And no window of time got more than rate and burst
+
+  Scenario: a lender's reply that arrives twice or late adds nothing
+    Given a borrower that asked twice
+    When the reply to the first request arrives
+    Then the borrower holds nothing
+    When the reply to the second request arrives twice
+    Then the borrower holds what was lent once
+
+  Scenario: an organisation that is taken off its plan and put back gets no second burst
+    Given a settled fleet of 5 VMs
+    When an organisation is removed and added again while its shares are lent
+    Then no window of time got more than rate and burst
