--- /dev/null
+++ b/tests/functional/faults.feature
@@ -0,0 +1,37 @@
+@fleet
+Feature: A fleet of real processes under faults
+
+  Scenario: the store is down for a while
+    When the store goes down for real
+    Then lookups are still answered on every VM after 3 seconds
+    And a change is reported as not done
+    When the store answers again
+    Then the same change is in force
+
+  Scenario: the store's answer to a change is lost
+    When the store will lose the answer to the next write
+    Then a change is reported as in force
+
+  Scenario: a VM freezes, misses a withdrawal and goes on
+    Given a second key of "alder-mill"
+    When the VM "south-1a" is frozen
+    And the operator withdraws the second key
+    Then the withdrawal is in force within 3 seconds
+    When the VM "south-1a" goes on
+    Then the second key is refused on "south-1a"
+    And the key of "alder-mill" works again on "south-1a"
+
+  Scenario: a VM is killed and starts again under its old address
+    When the VM "mid-1a" is killed
+    Then lookups are still answered on "north-1a"
+    When the VM "mid-1a" starts again
+    Then lookups are answered on "mid-1a" again
+
+  Scenario: a VM with another fleet key gets in nowhere
+    When a VM with another fleet key starts
+    Then it is never seated
+
+  Scenario: a graceful stop under load cuts nothing
+    When the VM "south-1a" stops gracefully under load
+    Then no request was cut or refused
+    And the look-up no longer names "south-1a"
--- /dev/null
+++ b/tests/support/fleets.py
@@ -0,0 +1,67 @@
+"""A real fleet of three VMs for functional tests."""
+
+import contextlib
+
+from fleet import BackendPlan, Fleet, VmPlace, running_fleet, service_lists
+
+PLACES = [
+    VmPlace("north-1a", "north", "north-1"),
+    VmPlace("mid-1a", "mid", "mid-1"),
+    VmPlace("south-1a", "south", "south-1"),
+]
+TIMING = {"lookup_max_age_ms": 500, "stop_grace_ms": 5_000}
+SERVICES = [
+    {
+        "name": "lookup",
+        "prefix": "/lookup/",
+        "traffic_class": "lookup",
+        "open_prefixes": ["/lookup/public/"],
+        "timeout_ms": 1_000,
+    },
+    {"name": "booking", "prefix": "/booking/", "traffic_class": "booking", "timeout_ms": 1_000},
+]
+CUSTOMERS = """
+[[organisations]]
+name = "alder-mill"
+plan = "large"
+
+[[organisations]]
+name = "birch-mill"
+plan = "lookups"
+
+[[plans]]
+name = "large"
+[[plans.entitlements]]
+service = "lookup"
+rate = 400.0
+burst = 400.0
+[[plans.entitlements]]
+service = "booking"
+rate = 100.0
+burst = 100.0
+
+[[plans]]
+name = "lookups"
+[[plans.entitlements]]
+service = "lookup"
+rate = 1.0
+burst = 3.0
+"""
+
+
+def open_fleet() -> tuple[contextlib.ExitStack, Fleet, dict[str, str]]:
+    """Start a fleet with two organisations, a key each, and two services."""
+    plans = [
+        BackendPlan(f"{service}-{place.region}", service, place.region, place.failure_domain, 4)
+        for service in ("lookup", "booking")
+        for place in PLACES
+    ]
+    stack = contextlib.ExitStack()
+    fleet = stack.enter_context(running_fleet(PLACES, plans, TIMING))
+    lists = service_lists(fleet, plans, SERVICES)
+    customers = fleet.folder / "customers.toml"
+    customers.write_text(CUSTOMERS)
+    fleet.berylctl("apply", str(lists), str(customers), "--yes")
+    keys = {name: fleet.grant_key(name, "test") for name in ("alder-mill", "birch-mill")}
+    fleet.wait_ready([place.name for place in PLACES])
+    return stack, fleet, keys
