Claim idempotency keys in the table service before a booking is dispatched

Cause: a caller's retry, or the same key at two VMs, could book twice. Change: conditional insert of a row per organisation and key, batched; first answer replayed; same key with another request refused; what is told while the first request runs, is unknown, was released or the store is down, each with whether it ran. The owner of a claim is a random name: a caller that repeats its x-request-id is not mistaken for the first sender. Found by 'nine callers with one key at once': two claims of one row in one transaction both passed, as each is checked against the rows before either, and a booking ran twice. A transaction now holds a row once; the stand-in refuses others. Weighed: claims by majority in memory while the store is down. Refused truthfully ('not run') instead: a restarted VM forgets, and Diop asks for single bookings before all else. Not done: rows of claims are never removed; the table interface has no expiry.

--- a/packages/berylbank-standins/src/berylbank_standins/_internal/platform.py
+++ b/packages/berylbank-standins/src/berylbank_standins/_internal/platform.py
@@ -80,6 +80,9 @@
     async def _commit(self, writes: list[dict[str, Any]], send: Any) -> None:
         self.writes += 1
         empty = StoredRow("", 0)
+        if len({write["key"] for write in writes}) < len(writes):
+            await send_answer(send, 400, b"{}")
+            return
         if any(self.rows.get(w["key"], empty).version != w["expected_version"] for w in writes):
             await send_answer(send, 409, b"{}")
             return
--- a/packages/berylbankd/src/berylbankd/_internal/application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/application.py
@@ -14,6 +14,8 @@
 from berylbank._internal.utils.clock import BootClock
 from berylbankd._internal.changes.writer import Platform
 from berylbankd._internal.channel.channel import Channel, ChannelSettings
+from berylbankd._internal.claims.batch import WriteBatcher
+from berylbankd._internal.claims.keeper import ClaimKeeper
 from berylbankd._internal.coordinator import Coordinator
 from berylbankd._internal.entry.app import EntryApp
 from berylbankd._internal.metrics import Metrics
@@ -45,6 +47,8 @@
             await self.coordinator.run(group)
             group.start_soon(self._close_idle)
             group.start_soon(self.entry.dispatcher.watch.run)
+            group.start_soon(self.batcher.run)
+            self.entry.bookings.group = group
             async with anyio.create_task_group() as servers:
                 self._start_servers(servers)
                 await self.stop_requested.wait()
@@ -72,7 +76,9 @@
         self.coordinator = Coordinator(
             settings, self.clock, platform, self.channel, self.randomness
         )
-        self.entry = EntryApp(self.coordinator, self.metrics)
+        self.batcher = WriteBatcher(platform.table)
+        keeper = ClaimKeeper(platform.table, self.batcher, self.randomness)
+        self.entry = EntryApp(self.coordinator, self.metrics, keeper)
         self.operators = OperatorApp(
             self.coordinator,
             self.entry,
@@ -96,7 +102,7 @@
         logger.info("leaving: callers move over")
         await anyio.sleep(self.settings.timing.lookup_max_age_ms / 1000)
         with anyio.move_on_after(self.settings.timing.stop_grace_ms / 1000):
-            while self.entry.running:
+            while self.entry.running or self.entry.bookings.keeper.recording:
                 await anyio.sleep(POLL_S)
 
     async def _watch_signals(self) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/entry/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/app.py
@@ -4,7 +4,9 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+from berylbankd._internal.claims.keeper import ClaimKeeper
 from berylbankd._internal.coordinator import Coordinator
+from berylbankd._internal.entry.booking import Bookings, Replay, send_replay
 from berylbankd._internal.entry.dispatch import (
     BrokenAnswerError,
     CallerGoneError,
@@ -14,7 +16,7 @@
 from berylbankd._internal.entry.exchange import Exchange
 from berylbankd._internal.entry.filters import Filters
 from berylbankd._internal.entry.lookup import LOOKUP_PATH, Lookup
-from berylbankd._internal.entry.refusals import Ran, Refusal
+from berylbankd._internal.entry.refusals import Ran, Refusal, RefusalKind
 from berylbankd._internal.metrics import Metrics
 
 NO_CLASS = "none"
@@ -23,12 +25,13 @@
 class EntryApp:
     """Serves callers."""
 
-    def __init__(self, coordinator: Coordinator, metrics: Metrics) -> None:
+    def __init__(self, coordinator: Coordinator, metrics: Metrics, keeper: ClaimKeeper) -> None:
         self.coordinator = coordinator
         self.metrics = metrics
         self.filters = Filters(coordinator)
         self.dispatcher = Dispatcher(coordinator, self.filters)
         self.lookup = Lookup(coordinator)
+        self.bookings = Bookings(keeper)
         self.running = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
@@ -53,7 +56,8 @@
         try:
             refusal = await self.filters.run(exchange)
             if refusal is None:
-                refusal = await self.dispatcher.run(exchange)
+                await self.dispatcher.keep_body(exchange)
+                refusal = await self._run_once(exchange)
                 self._give_back_token(exchange, refusal)
             if refusal is not None:
                 await self._refuse(exchange, refusal)
@@ -67,6 +71,23 @@
             raise
         self._record(exchange, refusal, (time.perf_counter() - started) * 1000)
 
+    async def _run_once(self, exchange: Exchange) -> Refusal | None:
+        """Dispatch the request, under a claim where it has an idempotency key."""
+        begun = await self.bookings.begin(exchange)
+        if isinstance(begun, Refusal):
+            return begun
+        if isinstance(begun, Replay):
+            await send_replay(exchange, begun)
+            return None
+        if begun is None:
+            return await self.dispatcher.run(exchange)
+        refusal: Refusal | None = Refusal(RefusalKind.BACKEND_FAILED, Ran.UNKNOWN)
+        try:
+            refusal = await self.dispatcher.run(exchange)
+        finally:
+            self.bookings.finish(begun, exchange, refusal)
+        return refusal
+
     def _give_back_token(self, exchange: Exchange, refusal: Refusal | None) -> None:
         if refusal is not None and refusal.ran is Ran.NO and exchange.bucket is not None:
             exchange.bucket.give_back(self.coordinator.clock.now_ms())
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -95,7 +95,6 @@
         :raises BrokenAnswerError: when the answer broke off after it began.
         """
         self.budget.note_request()
-        await self._keep_body(exchange)
         tried: frozenset[str] = frozenset()
         refusal: Refusal | None = None
         for attempt in range(MAX_ATTEMPTS):
@@ -207,23 +206,19 @@
         head: ResponseHead,
     ) -> None:
         headers = response_headers(head.headers, exchange.request_id, self.coordinator.node.leaving)
-        exchange.status = head.status
-        exchange.answering = True
-        await exchange.send(
-            {"type": "http.response.start", "status": head.status, "headers": headers}
-        )
+        await exchange.send_start(head.status, headers)
         try:
             chunk = await self._next_chunk(exchange, connection)
             if chunk is not None:
                 following = await self._next_chunk(exchange, connection)
                 if following is not None:
-                    await _send_chunk(exchange, chunk)
+                    await exchange.send_chunk(chunk)
                     await self._relay_watched(exchange, connection, following)
                     chunk = b""
         except BackendFailure as error:
             pool.health.note_failure(self.coordinator.clock.now_ms())
             raise BrokenAnswerError(str(error)) from None
-        await exchange.send({"type": "http.response.body", "body": chunk or b""})
+        await exchange.send_end(chunk or b"")
 
     async def _relay_watched(
         self, exchange: Exchange, connection: BackendConnection, chunk: bytes
@@ -235,7 +230,7 @@
             group.start_soon(_cancel_when_gone, exchange, group.cancel_scope)
             try:
                 while following is not None:
-                    await _send_chunk(exchange, following)
+                    await exchange.send_chunk(following)
                     following = await self._next_chunk(exchange, connection)
             except (BackendFailure, BrokenAnswerError) as error:
                 failure = error
@@ -251,7 +246,7 @@
         connection.deadline_ms = now_ms + exchange.service.timeout_ms
         return await connection.receive_chunk()
 
-    async def _keep_body(self, exchange: Exchange) -> None:
+    async def keep_body(self, exchange: Exchange) -> None:
         """Read a small body whole, so that a retry can send it again."""
         while not exchange.body_complete and len(exchange.body) <= MAX_KEPT_BODY_BYTES:
             exchange.body += await _receive_part(exchange, Ran.NO)
@@ -282,10 +277,6 @@
     return body
 
 
-async def _send_chunk(exchange: Exchange, chunk: bytes) -> None:
-    await exchange.send({"type": "http.response.body", "body": chunk, "more_body": True})
-
-
 async def _cancel_when_gone(exchange: Exchange, scope: anyio.CancelScope) -> None:
     while True:
         event = await exchange.receive()
--- a/packages/berylbankd/src/berylbankd/_internal/entry/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/exchange.py
@@ -12,6 +12,7 @@
 Send = Callable[[Any], Awaitable[None]]
 HeaderList = list[tuple[bytes, bytes]]
 MAX_ID_BYTES = 64
+MAX_RECORDED_BYTES = 65_536
 OPEN_ORGANISATION = "(open)"
 
 
@@ -34,9 +35,33 @@
         self.bucket: Bucket | None = None
         self.status = 0
         self.answering = False
+        self.record = False
+        self.answered = False
+        self.answer_headers: HeaderList = []
+        self.answer_body = bytearray()
         self.body = b""
         self.body_complete = not has_body(self.headers)
 
+    async def send_start(self, status: int, headers: HeaderList) -> None:
+        """Begin the answer."""
+        self.status = status
+        self.answering = True
+        self.answer_headers = headers
+        await self.send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def send_chunk(self, chunk: bytes) -> None:
+        """Send a part of the answer that more will follow."""
+        if self.record and len(self.answer_body) <= MAX_RECORDED_BYTES:
+            self.answer_body += chunk
+        await self.send({"type": "http.response.body", "body": chunk, "more_body": True})
+
+    async def send_end(self, chunk: bytes) -> None:
+        """Send the last part of the answer."""
+        if self.record and len(self.answer_body) <= MAX_RECORDED_BYTES:
+            self.answer_body += chunk
+        self.answered = True
+        await self.send({"type": "http.response.body", "body": chunk})
+
     @property
     def organisation(self) -> str:
         """Return the organisation that the request runs for."""
--- a/packages/berylbankd/src/berylbankd/_internal/entry/refusals.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/refusals.py
@@ -30,6 +30,11 @@
     CALLER_TOO_SLOW = "caller_too_slow"
     DEADLINE = "deadline"
     BACKEND_FAILED = "backend_failed"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    EARLIER_IN_PROGRESS = "earlier_in_progress"
+    EARLIER_UNKNOWN = "earlier_unknown"
+    EARLIER_DONE = "earlier_done"
+    CLAIMS_UNAVAILABLE = "claims_unavailable"
 
 
 class RefusalText(NamedTuple):
@@ -86,10 +91,25 @@
     RefusalKind.BACKEND_FAILED: RefusalText(
         502, "the backend server failed in mid-request", "retry only if the request may run twice"
     ),
+    RefusalKind.IDEMPOTENCY_KEY_REUSED: RefusalText(
+        422, "this idempotency key belongs to another request", "use a new key for a new request"
+    ),
+    RefusalKind.EARLIER_IN_PROGRESS: RefusalText(
+        409, "an earlier request with this key has not ended", "retry with the same key later"
+    ),
+    RefusalKind.EARLIER_UNKNOWN: RefusalText(
+        409, "an earlier request with this key may have run", "check before you use a new key"
+    ),
+    RefusalKind.EARLIER_DONE: RefusalText(
+        409, "an earlier request with this key ran", "its answer is too large to be given again"
+    ),
+    RefusalKind.CLAIMS_UNAVAILABLE: RefusalText(
+        503, "the idempotency key cannot be claimed now", "retry with the same key later"
+    ),
 }
 
 RETRY_AFTER_S = 1
-RETRY_STATUSES = frozenset({429, 503})
+RETRY_STATUSES = frozenset({409, 429, 503})
 
 
 class Refusal(NamedTuple):
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import anyio
@@ -66,27 +67,31 @@
         return answer.decode("latin-1")
 
 
+def raw_request(line, *headers, body=""):
+    lines = [f"{line} HTTP/1.1", "host: a", "connection: close", *headers, "", body]
+    return "\r\n".join(lines)
+
+
 def bad_requests(keys):
     alder, birch = keys["alder-mill"], keys["birch-mill"]
-    auth = f"authorization: Bearer {alder}\r\n"
+    oak, book = "GET /lookup/oak", "POST /booking/1"
+    key = f"authorization: Bearer {alder}"
+    chunked = "transfer-encoding: chunked"
     return {
-        "no key": "GET /lookup/oak HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
-        "unknown key": "GET /lookup/oak HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Bearer bb_no\r\n\r\n",
-        "other scheme": "GET /lookup/oak HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Basic eDp5\r\n\r\n",
-        "key in the query": f"GET /lookup/oak?key={alder} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
-        "key in another header": f"GET /lookup/oak HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-key: {alder}\r\n\r\n",
-        "unknown service": f"GET /nothing HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{auth}\r\n",
-        "service not in the plan": "GET /booking/1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
-        f"authorization: Bearer {birch}\r\n\r\n",
-        "two authorizations": f"GET /lookup/oak HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{auth}{auth}\r\n",
-        "path with dots": f"GET /lookup/../booking/1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{auth}\r\n",
-        "length and chunks": f"POST /booking/1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{auth}"
-        "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
-        "two lengths": f"POST /booking/1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{auth}"
-        "content-length: 3\r\ncontent-length: 4\r\n\r\nabc",
-        "huge header": f"GET /lookup/oak HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-long: {LONG_ID}\r\n\r\n",
+        "no key": raw_request(oak),
+        "unknown key": raw_request(oak, "authorization: Bearer bb_no"),
+        "other scheme": raw_request(oak, "authorization: Basic eDp5"),
+        "key in the query": raw_request(f"{oak}?key={alder}"),
+        "key in another header": raw_request(oak, f"x-key: {alder}"),
+        "unknown service": raw_request("GET /nothing", key),
+        "service not in the plan": raw_request("GET /booking/1", f"authorization: Bearer {birch}"),
+        "two authorizations": raw_request(oak, key, key),
+        "path with dots": raw_request("GET /lookup/../booking/1", key),
+        "length and chunks": raw_request(book, key, "content-length: 3", chunked, body="0\r\n\r\n"),
+        "two lengths": raw_request(book, key, "content-length: 3", "content-length: 4", body="abc"),
+        "huge header": raw_request(oak, f"x-long: {LONG_ID}"),
         "not HTTP": "hello\r\n\r\n",
-        "open route": "GET /lookup/public/oak HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-answer-bytes: 2\r\n\r\n",
+        "open route": raw_request("GET /lookup/public/oak", "x-answer-bytes: 2"),
     }
 
 
@@ -231,6 +236,80 @@
     assert sorted(state["executed"].get(token, 0) for state in states) == [0, 0, 1]
 
 
+@when('a caller books "{body}" with the token "{token}" on "{name}"')
+def step_book_on(context, body, token, name):
+    context.answer = book(context, body, token, name)
+
+
+def book(context, body, token, name):
+    url = f"http://{HOST}:{port(context, name)}/booking/1"
+    headers = {
+        "authorization": f"Bearer {context.keys['alder-mill']}",
+        "idempotency-key": token,
+        "x-request-id": "same",
+    }
+    return context.fleet.http.post(url, headers=headers, content=body.encode())
+
+
+@then("the booking is answered again, marked as replayed")
+def step_replayed(context):
+    assert context.answer.status_code == 200, context.answer.text
+    assert context.answer.headers["idempotency-replayed"] == "true"
+
+
+@when('callers book with the token "{token}" on every VM at once')
+def step_book_everywhere(context, token):
+    with ThreadPoolExecutor(9) as pool:
+        names = [name for name in context.fleet.ports for _ in range(3)]
+        answers = pool.map(lambda name: book(context, "same", token, name), names)
+        context.answers = list(answers)
+
+
+@then("each caller got the one answer or a truthful refusal")
+def step_truthful(context):
+    for answer in context.answers:
+        kind = answer.json().get("error")
+        assert answer.status_code == 200 or kind in ("earlier_in_progress",), answer.text
+    assert any(answer.status_code == 200 for answer in context.answers)
+
+
+@when("the store loses the answer to the next write")
+def step_lose_next(context):
+    context.fleet.platform_state(lose_answers=1)
+
+
+@when("the store is down for bookings")
+def step_down_for_bookings(context):
+    context.fleet.platform_state(outage=True)
+
+
+@when("the store is up for bookings")
+def step_up_for_bookings(context):
+    context.fleet.platform_state(outage=False)
+
+
+@when("every booking server takes {ms:d} ms")
+def step_slow_bookings(context, ms):
+    for name in BOOKING_SERVERS:
+        context.fleet.backend_state(name, service_ms=ms)
+
+
+@when('a VM dies while it books with the token "{token}"')
+def step_die_in_booking(context, token):
+    with ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(book, context, "die", token, "south-1a")
+        wait_until(lambda: executed(context, token), "the booking to start")
+        context.fleet.signal("south-1a", signal.SIGKILL)
+        context.fleet.wait_exit("south-1a")
+        assert pending.exception() is not None
+    step_slow_bookings(context, 0)
+
+
+def executed(context, token):
+    states = [context.fleet.backend_state(name) for name in BOOKING_SERVERS]
+    return sum(state["executed"].get(token, 0) for state in states)
+
+
 @then("the booking is answered")
 def step_booked(context):
     assert context.answer.status_code == 200, context.answer.text
