Shift traffic between versions and regions in capped steps that any VM can carry on

Cause: releases and moves were missing. Change: shifts are part of the configuration and step by compare-and-set; requests are shared out by credit, so the target gets at most its share of any run of requests, and one; each VM judges the target on each route by its own evidence and cuts it at once, tells the others by heartbeat, and the row makes it final; without reports of every seated VM a shift holds; past its time it is undone; the guard stays on after the last step. A version that is only started beside the old one gets nothing. Commands: release, move, cancel, shifts. The mutation 'a restarted VM mints at once' was no longer met by random schedules after messages grew; a history aimed at it now notices it each time.

--- a/packages/berylbank/src/berylbank/_internal/models/changes.py
+++ b/packages/berylbank/src/berylbank/_internal/models/changes.py
@@ -11,6 +11,7 @@
     Organisation,
     check_configuration,
 )
+from berylbank._internal.models.shifts import RUNNING, UNDONE, Shift, find_problem
 
 
 class ApplyLists(NamedTuple):
@@ -44,7 +45,30 @@
     draining: bool
 
 
-Change = ApplyLists | GrantKey | WithdrawKey | SetDraining
+class StartShift(NamedTuple):
+    """Begin to shift traffic of a service."""
+
+    shift: Shift
+
+
+class StepShift(NamedTuple):
+    """Take a shift from one step to another, or end it; lost against whoever was first."""
+
+    name: str
+    from_step: int
+    to_step: int
+    state: str
+    spent_ms: int
+    reason: str
+
+
+class CancelShift(NamedTuple):
+    """Undo a shift at an operator's word."""
+
+    name: str
+
+
+Change = ApplyLists | GrantKey | WithdrawKey | SetDraining | StartShift | StepShift | CancelShift
 
 
 def apply_change(current: Configuration, number: int, change: Change) -> Configuration:
@@ -76,11 +100,16 @@
         backend._replace(draining=draining.get(backend.name, backend.draining))
         for backend in change.configuration.backends
     )
-    new = change.configuration._replace(organisations=organisations, backends=backends)
+    kept = tuple(s for s in current.shifts if _still_stands(s, change.configuration))
+    new = change.configuration._replace(organisations=organisations, backends=backends, shifts=kept)
     check_configuration(new, "lists")
     return new
 
 
+def _still_stands(shift: Shift, new: Configuration) -> bool:
+    return any(service.name == shift.service for service in new.services)
+
+
 def _grant_key(current: Configuration, _number: int, change: GrantKey) -> Configuration:
     organisation = _find_organisation(current, change.organisation)
     if any(key.name == change.key.name for key in organisation.keys):
@@ -116,6 +145,61 @@
     )
 
 
+def _start_shift(current: Configuration, number: int, change: StartShift) -> Configuration:
+    shift = change.shift
+    problem = find_problem(shift)
+    if problem is not None:
+        raise ChangeRefusedError(problem, context=shift.name, hint="correct it and start again")
+    others = [s for s in current.shifts if s.service == shift.service and s.state == RUNNING]
+    if others:
+        raise ChangeRefusedError(
+            f"shift {others[0].name} of service {shift.service} is still running",
+            hint="wait for it, or cancel it with 'berylctl cancel'",
+        )
+    sides = {getattr(b, shift.by) for b in current.backends if b.service == shift.service}
+    for side in (shift.source, shift.target):
+        if side not in sides:
+            raise ChangeRefusedError(
+                f"service {shift.service} has no backend server of {shift.by} {side!r}",
+                hint="apply a list with such backend servers first",
+            )
+    kept = tuple(s for s in current.shifts if s.service != shift.service)
+    return current._replace(shifts=(*kept, shift._replace(begun=number + 1)))
+
+
+def _step_shift(current: Configuration, _number: int, change: StepShift) -> Configuration:
+    shift = _find_shift(current, change.name)
+    if shift.step != change.from_step or shift.state == UNDONE:
+        raise ChangeRefusedError(
+            f"shift {shift.name} is at step {shift.step}, {shift.state}", hint="decide anew"
+        )
+    return _replace_shift(
+        current,
+        shift._replace(
+            step=change.to_step,
+            state=change.state,
+            spent_ms=change.spent_ms,
+            reason=change.reason,
+        ),
+    )
+
+
+def _cancel_shift(current: Configuration, _number: int, change: CancelShift) -> Configuration:
+    shift = _find_shift(current, change.name)
+    return _replace_shift(current, shift._replace(state=UNDONE, reason="cancelled by an operator"))
+
+
+def _find_shift(current: Configuration, name: str) -> Shift:
+    for shift in current.shifts:
+        if shift.name == name:
+            return shift
+    raise ChangeRefusedError(f"no shift named {name}", hint="see 'berylctl shifts'")
+
+
+def _replace_shift(current: Configuration, new: Shift) -> Configuration:
+    return current._replace(shifts=tuple(new if s.name == new.name else s for s in current.shifts))
+
+
 def _mark_draining(backend: Backend, change: SetDraining) -> Backend:
     if backend.name != change.backend:
         return backend
@@ -142,11 +226,17 @@
     GrantKey: _grant_key,
     WithdrawKey: _withdraw_key,
     SetDraining: _set_draining,
+    StartShift: _start_shift,
+    StepShift: _step_shift,
+    CancelShift: _cancel_shift,
 }
 
 _DESCRIPTIONS: dict[type, Callable[..., str]] = {
     ApplyLists: lambda change: "apply lists",
     GrantKey: lambda change: f"grant key {change.key.name} to {change.organisation}",
     WithdrawKey: lambda change: f"withdraw key {change.key_name} of {change.organisation}",
+    StartShift: lambda change: f"start shift {change.shift.name}",
+    StepShift: lambda change: f"shift {change.name}: step {change.to_step}, {change.state}",
+    CancelShift: lambda change: f"cancel shift {change.name}",
     SetDraining: lambda change: f"{'drain' if change.draining else 'undrain'} {change.backend}",
 }
--- a/packages/berylbank/src/berylbank/_internal/models/configuration.py
+++ b/packages/berylbank/src/berylbank/_internal/models/configuration.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from berylbank._internal.exceptions import InvalidDocumentError
+from berylbank._internal.models.shifts import STATES, Shift
 from berylbank._internal.utils.records import RecordError, decode, encode
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
@@ -45,13 +46,17 @@
 
 
 class Service(NamedTuple):
-    """A group of backend servers behind one path prefix."""
+    """A group of backend servers behind one path prefix.
+
+    ``version`` is the one that serves until a release moves over; empty for every version.
+    """
 
     name: str
     prefix: str
     traffic_class: str
     open_prefixes: tuple[str, ...] = ()
     timeout_ms: int = 10_000
+    version: str = ""
 
 
 class Backend(NamedTuple):
@@ -65,6 +70,7 @@
     slots: int
     connections: int = 330
     draining: bool = False
+    version: str = ""
 
 
 class ClientBlock(NamedTuple):
@@ -82,6 +88,7 @@
     services: tuple[Service, ...] = ()
     backends: tuple[Backend, ...] = ()
     client_blocks: tuple[ClientBlock, ...] = ()
+    shifts: tuple[Shift, ...] = ()
 
 
 def parse_configuration(raw: object, source: str) -> Configuration:
@@ -120,6 +127,11 @@
         where = f"{source}, backend {backend.name}"
         _require(backend.service in services, where, f"unknown service {backend.service!r}")
         _require(backend.slots > 0, where, "slots must be positive")
+    for shift in configuration.shifts:
+        where = f"{source}, shift {shift.name}"
+        _require(shift.service in services, where, f"unknown service {shift.service!r}")
+        _require(shift.state in STATES, where, "unknown state")
+        _require(1 <= shift.step <= len(shift.steps), where, "step out of range")
     _check_unique_hashes(configuration, source)
 
 
--- a/packages/berylbank/src/berylbank/_internal/wire/codec.py
+++ b/packages/berylbank/src/berylbank/_internal/wire/codec.py
@@ -11,6 +11,7 @@
     ConfirmReply,
     ConfirmRequest,
     Envelope,
+    Evidence,
     HeadAck,
     HeadPush,
     Heartbeat,
@@ -75,6 +76,8 @@
     builder.leaving = message.leaving
     _pack_flat(builder.init("seat"), message.seat)
     _pack_list(builder.init("draining", len(message.draining)), message.draining)
+    _pack_list(builder.init("evidence", len(message.evidence)), message.evidence)
+    builder.cuts = list(message.cuts)
 
 
 def _pack_loans(builder: Any, message: LoanRequest | LoanReply) -> None:
@@ -98,6 +101,8 @@
         leaving=reader.leaving,
         seat=_read_flat(SeatAddress, reader.seat),
         draining=tuple(_read_flat(InFlight, item) for item in reader.draining),
+        evidence=tuple(_read_flat(Evidence, item) for item in reader.evidence),
+        cuts=tuple(str(name) for name in reader.cuts),
     )
 
 
@@ -109,6 +114,7 @@
     "failure_domain": "failureDomain",
     "round_id": "roundId",
     "request_id": "requestId",
+    "latency_ms": "latencyMs",
 }
 
 _FIELDS: dict[type, str] = {
--- a/packages/berylbank/src/berylbank/_internal/wire/messages.capnp
+++ b/packages/berylbank/src/berylbank/_internal/wire/messages.capnp
@@ -22,6 +22,17 @@
   leaving @2 :Bool;
   seat @3 :SeatAddress;
   draining @4 :List(InFlight);
+  evidence @5 :List(Evidence);
+  cuts @6 :List(Text);
+}
+
+struct Evidence {
+  shift @0 :Text;
+  route @1 :Text;
+  target @2 :Bool;
+  requests @3 :UInt32;
+  errors @4 :UInt32;
+  latencyMs @5 :UInt64;
 }
 
 struct SeatAddress {
--- a/packages/berylbank/src/berylbank/_internal/wire/messages.py
+++ b/packages/berylbank/src/berylbank/_internal/wire/messages.py
@@ -20,14 +20,30 @@
     requests: int
 
 
+class Evidence(NamedTuple):
+    """What a VM saw lately on one side of a shift on one route; ``latency_ms`` is a sum."""
+
+    shift: str
+    route: str
+    target: bool
+    requests: int
+    errors: int
+    latency_ms: int
+
+
 class Heartbeat(NamedTuple):
-    """Sent at a fixed interval: the newest head known and whether callers may come."""
+    """Sent at a fixed interval: the newest head known and whether callers may come.
+
+    ``cuts`` names the shifts whose target this VM has found bad.
+    """
 
     known: int
     ready: bool
     leaving: bool
     seat: SeatAddress
     draining: tuple[InFlight, ...] = ()
+    evidence: tuple[Evidence, ...] = ()
+    cuts: tuple[str, ...] = ()
 
 
 class HeadPush(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/backends/fair_queue.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/fair_queue.py
@@ -13,6 +13,13 @@
     item: T
 
 
+class First(NamedTuple):
+    """Whose item is next."""
+
+    start: float
+    organisation: str
+
+
 class FairQueue(Generic[T]):
     """Items by organisation; each gets room in proportion to its weight.
 
@@ -38,12 +45,17 @@
         queue.append(Tagged(start, item))
         return True
 
+    def peek(self) -> T | None:
+        """Return the item whose service starts first, or None."""
+        first = self._first()
+        return self.queues[first.organisation][0].item if first is not None else None
+
     def pop(self) -> T | None:
         """Remove and return the item whose service starts first, or None."""
-        waiting = [(queue[0].start, name) for name, queue in self.queues.items() if queue]
-        if not waiting:
+        first = self._first()
+        if first is None:
             return None
-        start, name = min(waiting)
+        start, name = first
         self.virtual_time = max(self.virtual_time, start)
         tagged = self.queues[name].popleft()
         if not self.queues[name]:
@@ -62,5 +74,9 @@
                 return True
         return False
 
+    def _first(self) -> First | None:
+        waiting = [First(queue[0].start, name) for name, queue in self.queues.items() if queue]
+        return min(waiting, default=None)
+
     def _forget_past(self) -> None:
         self.finish = {n: f for n, f in self.finish.items() if f > self.virtual_time}
--- a/packages/berylbankd/src/berylbankd/_internal/backends/slots.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/slots.py
@@ -1,5 +1,6 @@
 """Slots of backend servers, granted by one owner VM per group and lent to the others."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -28,6 +29,20 @@
     missing: int
 
 
+class Side(NamedTuple):
+    """The backend servers whose attribute ``by`` has ``value``; all where ``by`` is empty."""
+
+    by: str = ""
+    value: str = ""
+
+    def includes(self, backend: Backend) -> bool:
+        """Tell whether a backend server is on this side."""
+        return not self.by or getattr(backend, self.by) == self.value
+
+
+ANY_SIDE = Side()
+
+
 class SlotPool:
     """The slots of one backend server as this VM holds them."""
 
@@ -75,7 +90,7 @@
 
     def __init__(self) -> None:
         self.pools: list[SlotPool] = []
-        self.waiting = 0
+        self.waiting: Counter[Side] = Counter()
         self.peak = 0
         self.peak_ms = 0
 
@@ -89,17 +104,22 @@
         if running >= self.peak or now_ms - self.peak_ms > PEAK_MEMORY_MS:
             self.peak = running
             self.peak_ms = now_ms
-        return FREE_TARGET + self.waiting + max(0, self.peak - running)
+        return FREE_TARGET + self.waiting[ANY_SIDE] + max(0, self.peak - running)
 
-    def choose(self, now_ms: int, excluded: frozenset[str]) -> SlotPool | None:
-        """Return the best pool with a free slot, or None.
+    def choose(
+        self, now_ms: int, excluded: frozenset[str], side: Side = ANY_SIDE
+    ) -> SlotPool | None:
+        """Return the best pool of a side with a free slot, or None.
 
         The nearest region goes first, then the lowest latency seen for the share in use.
         """
         usable = [
             pool
             for pool in self.pools
-            if pool.backend.name not in excluded and pool.is_usable(now_ms) and pool.free(now_ms)
+            if pool.backend.name not in excluded
+            and side.includes(pool.backend)
+            and pool.is_usable(now_ms)
+            and pool.free(now_ms)
         ]
         return min(usable, key=_load_score, default=None)
 
@@ -188,6 +208,11 @@
         missing = max(0, -surplus)
         surplus = max(0, surplus - RELEASE_SLACK)
         extra = self._choose_extra(usable, missing, now_ms)
+        for side, waiting in service.waiting.items():
+            if side != ANY_SIDE and waiting:
+                on_side = [pool for pool in usable if side.includes(pool.backend)]
+                short = max(0, waiting - sum(pool.free(now_ms) for pool in on_side))
+                extra |= self._choose_extra(on_side, short, now_ms)
         for pool in reversed(service.pools):
             owner = pool.owner
             if owner is None or owner == self.authority.vm:
--- a/packages/berylbankd/src/berylbankd/_internal/coordinator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/coordinator.py
@@ -17,6 +17,12 @@
     ChangeRefusedError,
     InvalidDocumentError,
 )
+from berylbank._internal.models.changes import (
+    Change,
+    StepShift,
+    apply_change,
+    describe_change,
+)
 from berylbank._internal.models.configuration import Configuration, load_configuration
 from berylbank._internal.models.head import Head, load_head
 from berylbank._internal.platform.protocols import ListedVm
@@ -37,7 +43,7 @@
     Written,
 )
 from berylbankd._internal.channel.channel import Channel
-from berylbankd._internal.node import Connect, Node, Output, Propose, Send
+from berylbankd._internal.node import Connect, Node, Output, Propose, Send, Submit
 
 TICK_MS = 50
 LIST_EVERY_MS = 5_000
@@ -174,6 +180,8 @@
                 self._start(self._read_for_lease, output.started_ms)
             elif isinstance(output, Propose):
                 self._start(self._write_proposal, output.proposal)
+            elif isinstance(output, Submit):
+                self._start(self._write_step, output.change)
 
     async def _read_for_lease(self, started_ms: int) -> None:
         try:
@@ -192,6 +200,13 @@
         finally:
             self.node.proposing = False
 
+    async def _write_step(self, change: StepShift) -> None:
+        operation_id = f"{self.node.vm}-{self.randomness.getrandbits(64):016x}"
+        try:
+            await self.write(operation_id, describe_change(change), edit_with_change(change))
+        finally:
+            self.node.submitting = False
+
     def _log_readiness(self) -> None:
         ready = self.node.is_ready()
         if ready != self.logged_ready:
@@ -203,6 +218,18 @@
         self.group.start_soon(function, argument)
 
 
+def edit_with_change(change: Change) -> Edit:
+    """Return an edit that applies a change to the configuration it finds."""
+
+    def edit(stored: StoredHead) -> NewContent:
+        if stored.head is None:
+            raise InvalidDocumentError("no VM is seated yet", hint="wait a second and try again")
+        configuration = apply_change(stored.configuration, stored.head.number, change)
+        return NewContent(stored.head._replace(number=stored.head.number + 1), configuration)
+
+    return edit
+
+
 def edit_as_proposed(proposal: Proposal) -> Edit:
     """Return an edit that writes a proposal on top of the head it was made for, or nothing."""
 
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -23,6 +23,7 @@
 from berylbankd._internal.entry.filters import Filters
 from berylbankd._internal.entry.headers import request_headers, response_headers, states_not_run
 from berylbankd._internal.entry.refusals import Ran, Refusal, RefusalKind
+from berylbankd._internal.entry.routes import route_of
 from berylbankd._internal.entry.slot_gate import SlotGate
 
 MAX_ATTEMPTS = 3
@@ -116,7 +117,15 @@
         if exchange.grant is None and not has_authority:
             return self.gate.take_open_allowance(exchange.service, tried)
         weight = exchange.grant.weight if exchange.grant is not None else 1
-        return await self.gate.acquire(exchange.service, exchange.organisation, weight, tried)
+        side = self.coordinator.node.shifts.choose_side(exchange.service.name)
+        pool = await self.gate.acquire(
+            exchange.service, exchange.organisation, weight, tried, side.side
+        )
+        if pool is None and side.fallback is not None:
+            pool = await self.gate.acquire(
+                exchange.service, exchange.organisation, weight, tried, side.fallback
+            )
+        return pool
 
     async def _attempt_and_release(self, exchange: Exchange, pool: SlotPool) -> Attempt:
         assert exchange.service is not None
@@ -163,21 +172,34 @@
             await connection.send_request(exchange.method.encode(), exchange.target, headers, body)
             head = await connection.receive_head()
         except BackendFailure as failure:
-            pool.health.note_failure(self.coordinator.clock.now_ms())
+            now_ms = self.coordinator.clock.now_ms()
+            pool.health.note_failure(now_ms)
+            self._note_evidence(exchange, pool, True, now_ms - started_ms)
             return self._failed(exchange, connection, failure)
         if states_not_run(head.status, head.headers):
             return await self._shed(exchange, pool, connection)
         await self._relay(exchange, pool, connection, head)
-        self._note_answer(pool, head, started_ms)
+        self._note_answer(exchange, pool, head, started_ms)
         return ANSWERED
 
-    def _note_answer(self, pool: SlotPool, head: ResponseHead, started_ms: int) -> None:
+    def _note_answer(
+        self, exchange: Exchange, pool: SlotPool, head: ResponseHead, started_ms: int
+    ) -> None:
         now_ms = self.coordinator.clock.now_ms()
+        self._note_evidence(exchange, pool, head.status >= 500, now_ms - started_ms)
         if head.status >= 500:
             pool.health.note_failure(now_ms)
         else:
             pool.health.note_success(now_ms - started_ms)
 
+    def _note_evidence(
+        self, exchange: Exchange, pool: SlotPool, failed: bool, latency_ms: int
+    ) -> None:
+        assert exchange.service is not None
+        now_ms = self.coordinator.clock.now_ms()
+        route = route_of(exchange.path, exchange.service.prefix)
+        self.coordinator.node.shifts.note(pool.backend, route, failed, latency_ms, now_ms)
+
     def _failed(
         self, exchange: Exchange, connection: BackendConnection, failure: BackendFailure
     ) -> Attempt:
--- a/packages/berylbankd/src/berylbankd/_internal/entry/routes.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/routes.py
@@ -42,6 +42,11 @@
         return found is not None and found.organisation == grant.organisation
 
 
+def route_of(path: str, prefix: str) -> str:
+    """Return the first part of a path after the service's prefix."""
+    return path[len(prefix) :].split("/", 1)[0]
+
+
 def is_open(service: Service, path: str) -> bool:
     """Tell whether a path is open to callers without a key."""
     return path.startswith(service.open_prefixes) if service.open_prefixes else False
--- a/packages/berylbankd/src/berylbankd/_internal/entry/slot_gate.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/slot_gate.py
@@ -4,7 +4,7 @@
 
 from berylbank._internal.models.configuration import Service
 from berylbankd._internal.backends.fair_queue import FairQueue
-from berylbankd._internal.backends.slots import ServiceSlots, SlotPool
+from berylbankd._internal.backends.slots import ANY_SIDE, ServiceSlots, Side, SlotPool
 from berylbankd._internal.coordinator import Coordinator
 
 MAX_WAITING_PER_ORGANISATION = 64
@@ -15,8 +15,9 @@
 class SlotWaiter:
     """A request that waits for a slot; ``pool`` is set once it has one."""
 
-    def __init__(self, excluded: frozenset[str]) -> None:
+    def __init__(self, excluded: frozenset[str], side: Side) -> None:
         self.excluded = excluded
+        self.side = side
         self.event = anyio.Event()
         self.pool: SlotPool | None = None
 
@@ -30,18 +31,23 @@
         coordinator.on_serve.append(self.serve_all)
 
     async def acquire(
-        self, service: Service, organisation: str, weight: int, excluded: frozenset[str]
+        self,
+        service: Service,
+        organisation: str,
+        weight: int,
+        excluded: frozenset[str],
+        side: Side = ANY_SIDE,
     ) -> SlotPool | None:
-        """Return a pool with one more slot in use, or None when none came free in time."""
+        """Return a pool of a side with one more slot in use; None when none came free in time."""
         slots = self.coordinator.node.slots.services.get(service.name)
         if slots is None:
             return None
         queue = self.queues.setdefault(service.name, FairQueue(MAX_WAITING_PER_ORGANISATION))
         if not len(queue):
-            pool = self._take(slots, excluded)
+            pool = self._take(slots, excluded, side)
             if pool is not None:
                 return pool
-        waiter = SlotWaiter(excluded)
+        waiter = SlotWaiter(excluded, side)
         if not queue.push(organisation, weight, waiter):
             return None
         await self._wait(slots, queue, organisation, waiter, service.timeout_ms // WAIT_PART)
@@ -81,7 +87,7 @@
         waiter: SlotWaiter,
         wait_ms: int,
     ) -> None:
-        slots.waiting += 1
+        slots.waiting[waiter.side] += 1
         self.coordinator.request_loans()
         try:
             with anyio.move_on_after(wait_ms / 1000):
@@ -91,7 +97,7 @@
                 waiter.pool.in_use -= 1
             raise
         finally:
-            slots.waiting -= 1
+            slots.waiting[waiter.side] -= 1
             if waiter.pool is None:
                 queue.remove(organisation, waiter)
 
@@ -100,32 +106,19 @@
         queue = self.queues[name]
         if slots is None:
             return
-        while len(queue):
-            pool = self._take(slots, frozenset())
+        while (waiter := queue.peek()) is not None:
+            pool = self._take(slots, waiter.excluded, waiter.side)
             if pool is None:
                 return
-            waiter = queue.pop()
-            if waiter is None:
-                pool.in_use -= 1
-                return
-            waiter.pool = self._swap_excluded(slots, pool, waiter)
+            queue.pop()
+            waiter.pool = pool
             waiter.event.set()
 
-    def _swap_excluded(self, slots: ServiceSlots, pool: SlotPool, waiter: SlotWaiter) -> SlotPool:
-        """Prefer a pool that the waiter has not tried, where one is free."""
-        if pool.backend.name not in waiter.excluded:
-            return pool
-        other = self._take(slots, waiter.excluded)
-        if other is None:
-            return pool
-        pool.in_use -= 1
-        return other
-
-    def _take(self, slots: ServiceSlots, excluded: frozenset[str]) -> SlotPool | None:
+    def _take(self, slots: ServiceSlots, excluded: frozenset[str], side: Side) -> SlotPool | None:
         now_ms = self.coordinator.clock.now_ms()
         if not self.coordinator.authority.may_act(now_ms):
             return None
-        pool = slots.choose(now_ms, excluded)
+        pool = slots.choose(now_ms, excluded, side)
         if pool is not None:
             pool.in_use += 1
         return pool
--- a/packages/berylbankd/src/berylbankd/_internal/node.py
+++ b/packages/berylbankd/src/berylbankd/_internal/node.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from berylbank._internal.models.changes import StepShift
 from berylbank._internal.models.configuration import (
     Backend,
     Configuration,
@@ -38,6 +39,7 @@
 from berylbankd._internal.backends.slots import SlotBook
 from berylbankd._internal.loans.desk import LoanDesk
 from berylbankd._internal.rates.book import RateBook
+from berylbankd._internal.shifts.keeper import ShiftKeeper
 
 SAME_DOMAIN = 0
 NEAR_REGION = 1
@@ -66,7 +68,13 @@
     proposal: Proposal
 
 
-Output = Send | Connect | Propose | ReadHead
+class Submit(NamedTuple):
+    """Write a change that this VM decided on."""
+
+    change: StepShift
+
+
+Output = Send | Connect | Propose | Submit | ReadHead
 
 
 class Node:
@@ -92,6 +100,8 @@
         self.slots = SlotBook(self.authority, self.timing, self.distance_to)
         self.desk = LoanDesk([self.rates, self.slots])
         self.keeper = SeatKeeper(self.timing, now_ms, settings.seats, self.round_ids)
+        self.shifts = ShiftKeeper(self.vm, self.timing)
+        self.submitting = False
         self.peers: dict[str, PeerView] = {}
         self.peer_in_flight: dict[str, dict[str, int]] = {}
         self.trackers: list[Acceptance] = []
@@ -140,6 +150,7 @@
             self.next_heartbeat_ms = now_ms + self.settings.timing.heartbeat_ms
             outputs.extend(self.send_heartbeats())
         outputs.extend(self._propose(now_ms))
+        outputs.extend(self._step_shifts(now_ms))
         return outputs
 
     def request_loans(self, now_ms: int) -> list[Output]:
@@ -223,7 +234,15 @@
             for name, pool in self.slots.pools.items()
             if pool.backend.draining
         )
-        return Heartbeat(self.authority.known, self.is_ready(), self.leaving, address, draining)
+        return Heartbeat(
+            self.authority.known,
+            self.is_ready(),
+            self.leaving,
+            address,
+            draining,
+            self.shifts.evidence(self.clock.now_ms()),
+            tuple(sorted(self.shifts.cuts)),
+        )
 
     def _push(self, tracker: Acceptance, now_ms: int) -> list[Output]:
         outputs: list[Output] = []
@@ -252,11 +271,25 @@
         self.proposing = True
         return [Propose(proposal)]
 
+    def _step_shifts(self, now_ms: int) -> list[Output]:
+        before = self.shifts.cuts
+        head = self.authority.head
+        if head is None:
+            return []
+        acting = self.authority.may_act(now_ms)
+        change = self.shifts.decide(now_ms, head, self.authority.configuration, acting)
+        outputs = self.send_heartbeats() if self.shifts.cuts - before else []
+        if change is not None and not self.submitting:
+            self.submitting = True
+            outputs.append(Submit(change))
+        return outputs
+
     def _on_heartbeat(self, envelope: Envelope, message: Heartbeat, now_ms: int) -> list[Output]:
         seat = Seat(envelope.sender, *message.seat)
         self.peers[envelope.sender] = PeerView(
             seat, now_ms, message.ready, message.leaving, message.known
         )
+        self.shifts.hear(envelope.sender, message.evidence, message.cuts, now_ms)
         self.peer_in_flight[envelope.sender] = {i.backend: i.requests for i in message.draining}
         outputs: list[Output] = [Connect(envelope.sender, seat.channel)]
         if message.known > self.authority.known:
--- a/packages/berylbankd/src/berylbankd/_internal/operators/changes.py
+++ b/packages/berylbankd/src/berylbankd/_internal/operators/changes.py
@@ -1,6 +1,6 @@
 """Carries out the changes that operators ask for, and reports where they stand."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
@@ -8,11 +8,12 @@
 from berylbank._internal.exceptions import BerylbankError, InvalidDocumentError
 from berylbank._internal.models.changes import (
     ApplyLists,
+    CancelShift,
     Change,
     GrantKey,
     SetDraining,
+    StartShift,
     WithdrawKey,
-    apply_change,
     describe_change,
 )
 from berylbank._internal.models.head import Head
@@ -27,20 +28,20 @@
     ChangeState,
 )
 from berylbankd._internal.changes.writer import (
-    NewContent,
     NotDone,
     Outcome,
-    StoredHead,
     Unknown,
     Written,
 )
-from berylbankd._internal.coordinator import Coordinator
+from berylbankd._internal.coordinator import Coordinator, edit_with_change
 
 CHANGE_KINDS: dict[str, type[Any]] = {
     "apply": ApplyLists,
     "grant-key": GrantKey,
     "withdraw-key": WithdrawKey,
     "set-draining": SetDraining,
+    "start-shift": StartShift,
+    "cancel-shift": CancelShift,
 }
 POLL_S = 0.02
 KEPT_TRACKERS = 256
@@ -70,7 +71,7 @@
     async def submit(self, operation_id: str, change: Change, wait_ms: int) -> ChangeState:
         """Write a change and wait up to ``wait_ms`` for it to be in force."""
         outcome = await self.coordinator.write(
-            operation_id, describe_change(change), _edit_with(change)
+            operation_id, describe_change(change), edit_with_change(change)
         )
         return await self._follow(operation_id, outcome, wait_ms)
 
@@ -112,16 +113,6 @@
         return _state_of(operation_id, tracker)
 
 
-def _edit_with(change: Change) -> Callable[[StoredHead], NewContent]:
-    def edit(stored: StoredHead) -> NewContent:
-        if stored.head is None:
-            raise InvalidDocumentError("no VM is seated yet", hint="wait a second and try again")
-        configuration = apply_change(stored.configuration, stored.head.number, change)
-        return NewContent(stored.head._replace(number=stored.head.number + 1), configuration)
-
-    return edit
-
-
 def _state_of(operation_id: str, tracker: Acceptance) -> ChangeState:
     if tracker.in_force_ms is not None:
         return ChangeState(operation_id, IN_FORCE, tracker.number)
--- /dev/null
+++ b/packages/berylbankd/src/berylbankd/_internal/shifts/__init__.py
@@ -0,0 +1,1 @@
+"""Shifts of traffic: shares, evidence, and the decision to step or to undo."""
--- a/packages/berylctl/src/berylctl/_internal/operations/changes.py
+++ b/packages/berylctl/src/berylctl/_internal/operations/changes.py
@@ -6,9 +6,11 @@
 
 from berylbank._internal.models.changes import (
     ApplyLists,
+    CancelShift,
     Change,
     GrantKey,
     SetDraining,
+    StartShift,
     WithdrawKey,
 )
 from berylbank._internal.utils.records import encode
@@ -19,6 +21,8 @@
     GrantKey: "grant-key",
     WithdrawKey: "withdraw-key",
     SetDraining: "set-draining",
+    StartShift: "start-shift",
+    CancelShift: "cancel-shift",
 }
 DRAIN_POLL_S = 0.2
 
--- a/tests/support/fleets.py
+++ b/tests/support/fleets.py
@@ -19,6 +19,13 @@
         "timeout_ms": 1_000,
     },
     {"name": "booking", "prefix": "/booking/", "traffic_class": "booking", "timeout_ms": 1_000},
+    {
+        "name": "images",
+        "prefix": "/images/",
+        "traffic_class": "transfer",
+        "timeout_ms": 1_000,
+        "version": "v1",
+    },
 ]
 CUSTOMERS = """
 [[organisations]]
@@ -40,6 +47,11 @@
 rate = 100.0
 burst = 100.0
 
+[[plans.entitlements]]
+service = "images"
+rate = 1000.0
+burst = 1000.0
+
 [[plans]]
 name = "lookups"
 [[plans.entitlements]]
@@ -56,6 +68,10 @@
         for service in ("lookup", "booking")
         for place in PLACES
     ]
+    plans += [
+        BackendPlan(f"images-{version}", "images", "north", "north-1", 8, 0, version)
+        for version in ("v1", "v2")
+    ]
     stack = contextlib.ExitStack()
     fleet = stack.enter_context(running_fleet(PLACES, plans, TIMING))
     lists = service_lists(fleet, plans, SERVICES)
--- a/tests/support/histories.py
+++ b/tests/support/histories.py
@@ -105,6 +105,18 @@
     model.check_granted(RATE, BURST)
 
 
+def lender_restarted() -> None:
+    """A VM restarts while another uses what it lent before."""
+    model = settled_model(16, 5)
+    end_ms = model.now_ms + 4_000
+    while model.now_ms < end_ms:
+        if model.now_ms % LOAD_EVERY_MS == 0:
+            model.request("vm-2", "alder", "lookup", lambda _granted: None)
+        model.step()
+    model.restart(VICTIM)
+    model.run(2 * LEASE_MS)
+
+
 def lapsed_bucket() -> None:
     """A bucket whose VM lost its authority for a while starts empty."""
     bucket = Bucket("rate:alder:lookup", RATE, BURST, LEASE_MS)
@@ -122,5 +134,6 @@
     "restart after acknowledging": restart_after_ack,
     "slow answers": slow_answers,
     "lender unseated": lender_unseated,
+    "lender restarted": lender_restarted,
     "lapsed bucket": lapsed_bucket,
 }
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -48,6 +48,7 @@
     failure_domain: str
     slots: int
     service_ms: int = 0
+    version: str = ""
 
 
 def free_port() -> int:
@@ -243,6 +244,7 @@
             "region": plan.region,
             "failure_domain": plan.failure_domain,
             "slots": plan.slots,
+            "version": plan.version,
         }
         for plan in plans
     ]
