--- a/tools/bench.py
+++ b/tools/bench.py
@@ -4,6 +4,7 @@
 import sys
 from pathlib import Path
 
+sys.path.insert(0, str(Path(__file__).parent.parent))
 BENCHES = sorted(p.stem for p in (Path(__file__).parent / "benches").glob("bench_*.py"))
 
 
--- /dev/null
+++ b/tools/benches/bench_control.py
@@ -0,0 +1,112 @@
+"""What coordination costs a VM, against the number of VMs and customers, and the block table."""
+
+import gc
+import random
+import time
+from typing import NamedTuple
+
+from benches.report import print_result, print_rows
+from benches.twelve import Usage, open_fleet
+from berylbank._internal.models.blocks import AddressRange, BlockTable
+
+VM_COUNTS = (3, 6, 12, 24, 48)
+CUSTOMER_COUNTS = (8, 400)
+MEASURED_S = 12.0
+BLOCKS = 1_200_000
+SITES = 1_900
+LOOKUPS = 200_000
+
+
+class Point(NamedTuple):
+    """One measured fleet."""
+
+    vms: int
+    customers: int
+    cpu_percent: float
+    bytes_per_s: float
+    memory_mib: float
+    store_reads_per_s: float
+
+
+def measure(vms: int, customers: int) -> Point:
+    """Measure an idle fleet for a while."""
+    with open_fleet(vms, customers) as fleet:
+        time.sleep(6.0)
+        reads = fleet.platform_state()["reads"]
+        usage = Usage(fleet)
+        begin = time.monotonic()
+        time.sleep(MEASURED_S)
+        elapsed_s = time.monotonic() - begin
+        cpu = usage.cpu_percent(elapsed_s)
+        sent = usage.bytes_per_s(elapsed_s)
+        reads_per_s = (fleet.platform_state()["reads"] - reads) / elapsed_s
+        return Point(vms, customers, cpu, sent, usage.memory_mib(), reads_per_s)
+
+
+def fit_slope(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return slope and intercept by least squares."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return slope, mean_y - slope * mean_x
+
+
+def measure_blocks() -> dict[str, float]:
+    """Measure the table of client blocks at the size of the letter."""
+    randomness = random.Random(1)
+    starts = sorted(randomness.sample(range(2**24), BLOCKS))
+    ranges = [
+        AddressRange(start << 8, (start << 8) + 255, randomness.randrange(SITES))
+        for start in starts
+    ]
+    gc.collect()
+    begin = time.perf_counter()
+    table = BlockTable(ranges)
+    build_s = time.perf_counter() - begin
+    addresses = [randomness.randrange(2**32) for _ in range(LOOKUPS)]
+    begin = time.perf_counter()
+    for address in addresses:
+        table.find_site(address)
+    elapsed_s = time.perf_counter() - begin
+    return {
+        "blocks": BLOCKS,
+        "build_s": round(build_s, 2),
+        "table_mib": round(table.size_bytes() / 2**20, 1),
+        "bytes_per_block": round(table.size_bytes() / BLOCKS, 2),
+        "finds_per_s": round(LOOKUPS / elapsed_s),
+    }
+
+
+def main() -> int:
+    """Measure every fleet, fit the slopes and measure the table."""
+    points = [measure(count, CUSTOMER_COUNTS[0]) for count in VM_COUNTS]
+    points.append(measure(12, CUSTOMER_COUNTS[1]))
+    rows = [
+        (
+            p.vms,
+            p.customers,
+            f"{p.cpu_percent:.2f}",
+            f"{p.bytes_per_s:.0f}",
+            f"{p.memory_mib:.1f}",
+            f"{p.store_reads_per_s:.1f}",
+        )
+        for p in points
+    ]
+    columns = ("VMs", "customers", "% of a core", "bytes/s", "MiB", "store reads/s")
+    print_rows("idle cost of coordination for one VM", columns, rows)
+    few = [p for p in points if p.customers == CUSTOMER_COUNTS[0]]
+    figures: dict[str, object] = {}
+    for name in ("cpu_percent", "bytes_per_s", "memory_mib"):
+        slope, base = fit_slope([(p.vms, getattr(p, name)) for p in few])
+        figures[name] = {"per_vm": round(slope, 4), "base": round(base, 3)}
+    many, one = points[-1], next(p for p in few if p.vms == 12)
+    more = CUSTOMER_COUNTS[1] - CUSTOMER_COUNTS[0]
+    figures["per_customer"] = {
+        "cpu_percent": round((many.cpu_percent - one.cpu_percent) / more, 5),
+        "kib": round((many.memory_mib - one.memory_mib) * 1024 / more, 2),
+    }
+    figures["block_table"] = measure_blocks()
+    print_result("control", figures)
+    return 0
--- /dev/null
+++ b/tools/benches/bench_release.py
@@ -0,0 +1,61 @@
+"""Releases on a virtual clock: what bad versions get, and whether good ones are over in time."""
+
+from concurrent.futures import ProcessPoolExecutor
+
+from benches.report import print_result, print_rows
+from tests.support.releases import BEHAVIOURS, WITHIN_MS, Release, ReleaseResult
+
+GOOD_RUNS = 200
+BAD_RUNS = 20
+
+
+def run_one(job: tuple[str, int]) -> ReleaseResult:
+    """Run one release."""
+    behaviour, seed = job
+    return Release(seed, behaviour).run()
+
+
+def main() -> int:
+    """Run every kind of release from fixed seeds."""
+    rows, figures = [], {}
+    with ProcessPoolExecutor(6) as pool:
+        for behaviour in BEHAVIOURS:
+            count = GOOD_RUNS if behaviour == "good" else BAD_RUNS
+            found = list(pool.map(run_one, [(behaviour, seed) for seed in range(count)]))
+            done = sum(r.state == "done" and r.took_ms < WITHIN_MS for r in found)
+            share = max(r.to_target / r.requests for r in found)
+            rows.append(
+                (
+                    behaviour,
+                    count,
+                    done,
+                    sum(r.state == "undone" for r in found),
+                    max(r.to_target for r in found),
+                    f"{100 * share:.2f}",
+                    max(r.bad_answers for r in found),
+                    max(r.after_evidence for r in found),
+                    max(r.over_cap for r in found),
+                    max(r.took_ms for r in found),
+                )
+            )
+            figures[behaviour.replace(" ", "_")] = {
+                "runs": count,
+                "done": done,
+                "most_share_percent": round(100 * share, 2),
+                "after_evidence": max(r.after_evidence for r in found),
+            }
+    columns = (
+        "kind",
+        "runs",
+        "done",
+        "undone",
+        "most to new",
+        "%",
+        "most bad",
+        "2 s after",
+        "over cap",
+        "longest ms",
+    )
+    print_rows("releases, 3 VMs, 300 requests/s", columns, rows)
+    print_result("release", figures)
+    return 0
