Let an operator declare VMs ended when a majority of the seats is lost

Cause: a head is accepted by a majority of its seats; with that majority gone for good, the others could never unseat it (by design: nothing shows them that it ended). Shown: 3 of 5 VMs dead: stuck for 15 s of virtual time, whole again after three declarations.

--- a/packages/berylbank/src/berylbank/_internal/models/changes.py
+++ b/packages/berylbank/src/berylbank/_internal/models/changes.py
@@ -62,13 +62,28 @@
     reason: str
 
 
+class ForgetVm(NamedTuple):
+    """Unseat a VM at an operator's word that its process has ended for good."""
+
+    vm: str
+
+
 class CancelShift(NamedTuple):
     """Undo a shift at an operator's word."""
 
     name: str
 
 
-Change = ApplyLists | GrantKey | WithdrawKey | SetDraining | StartShift | StepShift | CancelShift
+Change = (
+    ApplyLists
+    | GrantKey
+    | WithdrawKey
+    | SetDraining
+    | StartShift
+    | StepShift
+    | CancelShift
+    | ForgetVm
+)
 
 
 def apply_change(current: Configuration, number: int, change: Change) -> Configuration:
@@ -229,6 +244,7 @@
     StartShift: _start_shift,
     StepShift: _step_shift,
     CancelShift: _cancel_shift,
+    ForgetVm: lambda current, _number, _change: current,
 }
 
 _DESCRIPTIONS: dict[type, Callable[..., str]] = {
@@ -238,5 +254,6 @@
     StartShift: lambda change: f"start shift {change.shift.name}",
     StepShift: lambda change: f"shift {change.name}: step {change.to_step}, {change.state}",
     CancelShift: lambda change: f"cancel shift {change.name}",
+    ForgetVm: lambda change: f"forget VM {change.vm}",
     SetDraining: lambda change: f"{'drain' if change.draining else 'undrain'} {change.backend}",
 }
--- a/packages/berylbank/src/berylbank/_internal/models/seating.py
+++ b/packages/berylbank/src/berylbank/_internal/models/seating.py
@@ -46,6 +46,13 @@
     )
 
 
+def forget_vm(head: Head, vm: str) -> Head:
+    """Unseat a VM whose process is known to have ended; nobody waits for it any more."""
+    return change_seats(head, (), (vm,))._replace(
+        prior_vms=tuple(name for name in head.prior_vms if name != vm)
+    )
+
+
 def settle_rights(head: Head, configuration: Configuration) -> Head | None:
     """Give every seat its target share and every group an owner; None where all is settled.
 
--- a/packages/berylbankd/src/berylbankd/_internal/coordinator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/coordinator.py
@@ -19,12 +19,14 @@
 )
 from berylbank._internal.models.changes import (
     Change,
+    ForgetVm,
     StepShift,
     apply_change,
     describe_change,
 )
 from berylbank._internal.models.configuration import Configuration, load_configuration
 from berylbank._internal.models.head import Head, load_head
+from berylbank._internal.models.seating import forget_vm
 from berylbank._internal.platform.protocols import ListedVm
 from berylbank._internal.settings import Settings
 from berylbank._internal.utils.clock import Clock
@@ -224,12 +226,20 @@
     def edit(stored: StoredHead) -> NewContent:
         if stored.head is None:
             raise InvalidDocumentError("no VM is seated yet", hint="wait a second and try again")
+        if isinstance(change, ForgetVm):
+            return NewContent(_forget(stored.head, change.vm), stored.configuration)
         configuration = apply_change(stored.configuration, stored.head.number, change)
         return NewContent(stored.head._replace(number=stored.head.number + 1), configuration)
 
     return edit
 
 
+def _forget(head: Head, vm: str) -> Head:
+    if vm not in head.vms():
+        raise ChangeRefusedError(f"no VM named {vm} is seated", hint="see 'berylctl vms'")
+    return forget_vm(head, vm)
+
+
 def edit_as_proposed(proposal: Proposal) -> Edit:
     """Return an edit that writes a proposal on top of the head it was made for, or nothing."""
 
--- a/packages/berylbankd/src/berylbankd/_internal/operators/changes.py
+++ b/packages/berylbankd/src/berylbankd/_internal/operators/changes.py
@@ -10,6 +10,7 @@
     ApplyLists,
     CancelShift,
     Change,
+    ForgetVm,
     GrantKey,
     SetDraining,
     StartShift,
@@ -42,6 +43,7 @@
     "set-draining": SetDraining,
     "start-shift": StartShift,
     "cancel-shift": CancelShift,
+    "forget-vm": ForgetVm,
 }
 POLL_S = 0.02
 KEPT_TRACKERS = 256
--- a/packages/berylctl/src/berylctl/_internal/commands/status.py
+++ b/packages/berylctl/src/berylctl/_internal/commands/status.py
@@ -4,8 +4,9 @@
 
 import cyclopts
 
-from berylctl._internal.cli.main import AsJson, Wait, app
+from berylctl._internal.cli.main import AsJson, OperationId, Wait, app
 from berylctl._internal.cli.output import (
+    EXIT_ERROR,
     EXIT_OK,
     EXIT_WAITING,
     print_json,
@@ -13,6 +14,9 @@
     report_state,
 )
 
+Confirm = Annotated[
+    bool, cyclopts.Parameter(name="--confirm-ended", negative="", help="its process has ended")
+]
 Operation = Annotated[
     str | None, cyclopts.Parameter(name="--operation", help="where this change stands")
 ]
@@ -64,6 +68,30 @@
     return EXIT_OK if healthy else EXIT_WAITING
 
 
+@app.command
+def forget(
+    vm: str,
+    *,
+    confirm_ended: Confirm = False,
+    operation_id: OperationId = None,
+    json: AsJson = False,
+) -> int:
+    """Unseat VM at your word that its process has ended for good.
+
+    Needed only where a majority of the seated VMs is lost; others are unseated by themselves.
+    """
+    from berylbank._internal.models.changes import ForgetVm
+    from berylctl._internal.operations.changes import submit_change
+    from berylctl._internal.operations.client import Client, load_client_settings
+
+    if not confirm_ended:
+        print("A VM that still runs could go on with old keys and rates, unseen.")
+        print("hint: make sure that its process has ended, then add --confirm-ended")
+        return EXIT_ERROR
+    client = Client(load_client_settings(None))
+    return report_state(submit_change(client, ForgetVm(vm), operation_id, 5_000), json)
+
+
 def _row(item: dict[str, Any], columns: tuple[str, ...]) -> tuple[Any, ...]:
     return tuple(item[column] for column in columns)
 
--- a/packages/berylctl/src/berylctl/_internal/operations/changes.py
+++ b/packages/berylctl/src/berylctl/_internal/operations/changes.py
@@ -8,6 +8,7 @@
     ApplyLists,
     CancelShift,
     Change,
+    ForgetVm,
     GrantKey,
     SetDraining,
     StartShift,
@@ -23,6 +24,7 @@
     SetDraining: "set-draining",
     StartShift: "start-shift",
     CancelShift: "cancel-shift",
+    ForgetVm: "forget-vm",
 }
 DRAIN_POLL_S = 0.2
 
--- a/tests/steps/coordination_steps.py
+++ b/tests/steps/coordination_steps.py
@@ -2,13 +2,14 @@
 
 from behave import given, then, when
 
-from berylbank._internal.models.changes import ApplyLists
+from berylbank._internal.models.changes import ApplyLists, ForgetVm
 from berylbank._internal.models.configuration import Configuration
 from berylbank._internal.models.head import SHARE_UNITS, Head, Seat
 from berylbank._internal.settings import TimingSettings
 from berylbank._internal.wire.messages import ConfirmReply, ConfirmRequest
 from berylbankd._internal.authority.authority import Authority
 from berylbankd._internal.authority.timing import derive_timing
+from berylbankd._internal.changes.writer import Written
 from berylbankd._internal.loans.ledger import Borrower
 from tests.support.campaign import (
     BURST,
@@ -193,6 +194,26 @@
         context.model.restart(name)
 
 
+@when("three VMs die for good")
+def step_three_die(context):
+    context.dead = ("vm-3", "vm-4", "vm-5")
+    for name in context.dead:
+        context.model.kill(name)
+
+
+@then("the others cannot give up their seats by themselves")
+def step_stuck(context):
+    context.model.run(15_000)
+    assert len(context.model.vms["vm-1"].node.authority.head.seats) == 5
+
+
+@when("an operator declares them ended")
+def step_declare(context):
+    for name in context.dead:
+        outcome = context.model.change("vm-1", ForgetVm(name))
+        assert isinstance(outcome, Written)
+
+
 @then("it serves again within {limit_ms:d} ms")
 def step_serves_again(context, limit_ms):
     model = context.model
--- a/tests/unit/coordination/authority.feature
+++ b/tests/unit/coordination/authority.feature
@@ -49,6 +49,13 @@
     When the store comes back
     Then the fleet is whole again
 
+  Scenario: a majority of the VMs is lost for good
+    Given a settled fleet of 5 VMs
+    When three VMs die for good
+    Then the others cannot give up their seats by themselves
+    When an operator declares them ended
+    Then the fleet is whole again
+
   Scenario: a region cut off without the store refuses, the others go on
     Given a settled fleet of 6 VMs
     When the region "south" is cut off without the store
