--- /dev/null
+++ b/tools/benches/bench_stop.py
@@ -0,0 +1,125 @@
+"""A rolling restart of every VM under load: callers follow the look-up and keep it for its time."""
+
+import signal
+import time
+from typing import NamedTuple
+
+import anyio
+from fleet import HOST, Fleet, running_fleet, wait_until
+
+from benches.report import print_result, print_rows
+from benches.serving import PLACES, apply_lists, spread_backends
+from berylbank_standins._internal.load import Caller, CutError
+
+CALLERS = 12
+PAUSE_S = 0.02
+MAX_AGE_S = 1.0
+
+
+class Counts(NamedTuple):
+    """What the callers saw."""
+
+    requests: int
+    refused: dict[str, int]
+    cut: int
+
+
+class FollowingCaller:
+    """A caller that looks up, keeps the answer for its time, and goes on sending."""
+
+    def __init__(self, fleet: Fleet, key: str, index: int) -> None:
+        self.fleet = fleet
+        self.key = key
+        self.index = index
+        self.requests = 0
+        self.refused: dict[str, int] = {}
+        self.cut = 0
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Send until ``stop``."""
+        known = [ports.callers for ports in self.fleet.ports.values()]
+        while not stop.is_set():
+            known = await self._look_up(known)
+            port = known[self.index % len(known)]
+            caller = Caller(HOST, port)
+            kept_until = time.monotonic() + MAX_AGE_S
+            while time.monotonic() < kept_until and not stop.is_set():
+                await self._send(caller)
+                await anyio.sleep(PAUSE_S)
+            await caller.aclose()
+
+    async def _look_up(self, known: list[int]) -> list[int]:
+        import json
+
+        for port in known[self.index % len(known) :] + known:
+            caller = Caller(HOST, port)
+            try:
+                answer = await caller.request("GET", "/.well-known/berylbank/lookup")
+            except (OSError, CutError):
+                continue
+            finally:
+                await caller.aclose()
+            named = json.loads(answer.body)["entry_vms"]
+            if named:
+                return [int(vm["address"].rpartition(":")[2]) for vm in named]
+        return known
+
+    async def _send(self, caller: Caller) -> None:
+        self.requests += 1
+        headers = (("authorization", f"Bearer {self.key}"),)
+        try:
+            answer = await caller.request("GET", "/history/bit", headers)
+        except (OSError, CutError):
+            self.cut += 1
+            return
+        if answer.status != 200:
+            import json
+
+            kind = json.loads(answer.body)["error"]
+            self.refused[kind] = self.refused.get(kind, 0) + 1
+
+
+async def restart_all(fleet: Fleet, stop: anyio.Event) -> None:
+    """Stop and start every VM in turn, waiting for each to serve again."""
+    await anyio.sleep(1.0)
+    for place in PLACES:
+        fleet.signal(place.name, signal.SIGTERM)
+        await anyio.to_thread.run_sync(fleet.wait_exit, place.name)
+        fleet.start_vm(place)
+        await anyio.to_thread.run_sync(wait_serves, fleet, place.name)
+    await anyio.sleep(1.0)
+    stop.set()
+
+
+def wait_serves(fleet: Fleet, name: str) -> None:
+    """Wait until a VM serves keyed requests."""
+    wait_until(lambda: fleet.status(name)["may_act"], name)
+
+
+def main() -> int:
+    """Run the rolling restart."""
+    plans = spread_backends("history", 12, 3, 20)
+    with running_fleet(PLACES, plans, {"lookup_max_age_ms": 1_500}) as fleet:
+        key = apply_lists(fleet, plans, {"baobab": 2_000.0})["baobab"]
+        callers = [FollowingCaller(fleet, key, index) for index in range(CALLERS)]
+
+        async def run() -> None:
+            stop = anyio.Event()
+            async with anyio.create_task_group() as group:
+                for caller in callers:
+                    group.start_soon(caller.run, stop)
+                group.start_soon(restart_all, fleet, stop)
+
+        begin = time.monotonic()
+        anyio.run(run)
+        elapsed_s = time.monotonic() - begin
+    refused: dict[str, int] = {}
+    for caller in callers:
+        for kind, count in caller.refused.items():
+            refused[kind] = refused.get(kind, 0) + count
+    requests = sum(caller.requests for caller in callers)
+    cut = sum(caller.cut for caller in callers)
+    rows = [(len(PLACES), f"{elapsed_s:.0f}", requests, cut, refused)]
+    print_rows("rolling restart", ("VMs", "seconds", "requests", "cut", "refused"), rows)
+    print_result("stop", {"requests": requests, "cut": cut, "refused": refused})
+    return 0
--- /dev/null
+++ b/tools/benches/serving.py
@@ -0,0 +1,135 @@
+"""Load on a fleet of real VMs, one load client for each."""
+
+import json
+from typing import NamedTuple
+
+import anyio
+from fleet import HOST, BackendPlan, Fleet, VmPlace, service_lists
+
+from berylbank_standins._internal.load import Answer, LoadClient, LoadPlan, LoadResult
+
+PLACES = [
+    VmPlace(f"{region}-{domain}a", region, f"{region}-{domain}")
+    for region in ("dakar", "thies", "kedougou")
+    for domain in (1, 2)
+]
+
+
+class Total(NamedTuple):
+    """Results of several load clients together; latencies are the worst of them."""
+
+    requests: int
+    ok: int
+    cut: int
+    refused: dict[str, int]
+    p50_ms: float
+    p99_ms: float
+
+
+class Stream(NamedTuple):
+    """Steady requests of one key to one VM."""
+
+    vm: str
+    key: str
+    rate: float
+    connections: int
+    target: str = "/history/bit"
+
+
+def spread_backends(service: str, count: int, slots: int, service_ms: int) -> list[BackendPlan]:
+    """Return backend servers spread over the failure domains."""
+    return [
+        BackendPlan(
+            f"{service}-{i + 1}",
+            service,
+            PLACES[i % len(PLACES)].region,
+            PLACES[i % len(PLACES)].failure_domain,
+            slots,
+            service_ms,
+        )
+        for i in range(count)
+    ]
+
+
+def apply_lists(
+    fleet: Fleet, plans: list[BackendPlan], rates: dict[str, float], timeout_ms: int = 4_000
+) -> dict[str, str]:
+    """Apply one service and an organisation for each rate; return their keys."""
+    service = {
+        "name": plans[0].service,
+        "prefix": f"/{plans[0].service}/",
+        "traffic_class": "lookup",
+        "timeout_ms": timeout_ms,
+    }
+    lists = service_lists(fleet, plans, [service])
+    lines = []
+    for name, rate in rates.items():
+        lines.append(f'[[organisations]]\nname = "{name}"\nplan = "{name}"\n')
+        lines.append(f'[[plans]]\nname = "{name}"\n[[plans.entitlements]]\n')
+        lines.append(f'service = "{plans[0].service}"\nrate = {rate}\nburst = {rate}\n')
+    path = fleet.folder / "customers.toml"
+    path.write_text("".join(lines))
+    fleet.berylctl("apply", str(lists), str(path), "--yes")
+    fleet.wait_ready(list(fleet.ports))
+    return {name: fleet.grant_key(name, "bench") for name in rates}
+
+
+def run_streams(fleet: Fleet, streams: list[Stream], duration_s: float) -> list[Total]:
+    """Run all streams at once and return what each got."""
+
+    async def run() -> list[Total]:
+        totals: list[Total | None] = [None] * len(streams)
+
+        async def one(index: int, stream: Stream) -> None:
+            totals[index] = await run_stream(fleet, stream, duration_s)
+
+        async with anyio.create_task_group() as group:
+            for index, stream in enumerate(streams):
+                group.start_soon(one, index, stream)
+        return [total for total in totals if total is not None]
+
+    return anyio.run(run, backend_options={"use_uvloop": True})
+
+
+async def run_stream(fleet: Fleet, stream: Stream, duration_s: float) -> Total:
+    """Run one stream."""
+    refused: dict[str, int] = {}
+
+    def check(answer: Answer) -> bool:
+        if answer.status != 200:
+            kind = json.loads(answer.body).get("error", "?") if answer.body else "?"
+            refused[kind] = refused.get(kind, 0) + 1
+        return answer.status == 200
+
+    headers = (("authorization", f"Bearer {stream.key}"),)
+    port = fleet.ports[stream.vm].callers
+    plan = LoadPlan(HOST, port, stream.target, headers, stream.connections, duration_s, stream.rate)
+    return total_of(await LoadClient(plan, check).run(), refused)
+
+
+def total_of(result: LoadResult, refused: dict[str, int]) -> Total:
+    """Return one client's result."""
+    return Total(
+        result.requests,
+        result.statuses.get(200, 0),
+        result.cut,
+        refused,
+        result.p50_us / 1000,
+        result.p99_us / 1000,
+    )
+
+
+def join(totals: list[Total]) -> Total:
+    """Return the sum of several results."""
+    refused: dict[str, int] = {}
+    for total in totals:
+        for kind, count in total.refused.items():
+            refused[kind] = refused.get(kind, 0) + count
+    return Total(
+        sum(t.requests for t in totals),
+        sum(t.ok for t in totals),
+        sum(t.cut for t in totals),
+        refused,
+        max(t.p50_ms for t in totals),
+        max(t.p99_ms for t in totals),
+    )
