--- a/packages/berylbankd/src/berylbankd/_internal/entry/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/app.py
@@ -15,6 +15,7 @@
 )
 from berylbankd._internal.entry.exchange import Exchange
 from berylbankd._internal.entry.filters import Filters
+from berylbankd._internal.entry.journal import Entry, Journal
 from berylbankd._internal.entry.lookup import LOOKUP_PATH, Lookup
 from berylbankd._internal.entry.refusals import Ran, Refusal, RefusalKind
 from berylbankd._internal.metrics import Metrics
@@ -32,6 +33,7 @@
         self.dispatcher = Dispatcher(coordinator, self.filters)
         self.lookup = Lookup(coordinator)
         self.bookings = Bookings(keeper)
+        self.journal = Journal()
         self.running = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
@@ -110,6 +112,19 @@
         )
         if refusal is not None:
             self.metrics.count_refusal(exchange.organisation, refusal.kind.value)
+        self.journal.add(
+            Entry(
+                exchange.request_id,
+                exchange.organisation,
+                exchange.service.name if exchange.service else "",
+                exchange.backends,
+                exchange.status,
+                refusal.kind.value if refusal is not None else "",
+                refusal.ran.value if refusal is not None else "yes",
+                int(duration_ms),
+                self.coordinator.authority.known,
+            )
+        )
 
     async def _answer_lookup(self, scope: Any, send: Any) -> None:
         self.metrics.lookups.add(1)
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -144,6 +144,7 @@
             pool.health.note_failure(now_ms())
             return Attempt(Refusal(RefusalKind.NO_BACKEND), retryable=True)
         started_ms = now_ms()
+        exchange.backends += (pool.backend.name,)
         connection.deadline_ms = started_ms + exchange.service.timeout_ms
         self.watch.active.add(connection)
         keep = False
--- a/packages/berylbankd/src/berylbankd/_internal/entry/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/exchange.py
@@ -34,6 +34,7 @@
         self.service: Service | None = None
         self.bucket: Bucket | None = None
         self.status = 0
+        self.backends: tuple[str, ...] = ()
         self.answering = False
         self.record = False
         self.answered = False
--- a/packages/berylbankd/src/berylbankd/_internal/operators/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/operators/app.py
@@ -87,6 +87,7 @@
             ("GET", "history"): Route(Role.LOOK, self._history),
             ("GET", "changes"): Route(Role.LOOK, self._find_change),
             ("GET", "drains"): Route(Role.LOOK, self._drain),
+            ("GET", "requests"): Route(Role.LOOK, self._requests),
             ("POST", "changes"): Route(Role.OPERATE, self._submit),
         }
 
@@ -137,6 +138,10 @@
             return _error(404, f"no backend server {request.path}", "see 'berylctl status'")
         return Answer(200, view)
 
+    async def _requests(self, request: OperatorRequest) -> Answer:
+        found = self.entry.journal.find(request.path)
+        return Answer(200, {"requests": [entry._asdict() for entry in found]})
+
     async def _find_change(self, request: OperatorRequest) -> Answer:
         state = await self.desk.find(request.path, request.wait_ms())
         return Answer(200, state._asdict())
--- a/packages/berylctl/src/berylctl/_internal/cli/main.py
+++ b/packages/berylctl/src/berylctl/_internal/cli/main.py
@@ -25,9 +25,9 @@
 
 def register_commands() -> None:
     """Import every command; each registers itself."""
-    from berylctl._internal.commands import apply, drain, keys, shift, status
+    from berylctl._internal.commands import apply, drain, explain, keys, shift, status
 
-    assert apply and drain and keys and shift and status
+    assert apply and drain and explain and keys and shift and status
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/berylctl/src/berylctl/_internal/commands/explain.py
@@ -0,0 +1,55 @@
+"""``berylctl explain`` and ``doctor``."""
+
+from berylctl._internal.cli.main import AsJson, app
+from berylctl._internal.cli.output import (
+    EXIT_ERROR,
+    EXIT_OK,
+    EXIT_WAITING,
+    print_json,
+    print_table,
+)
+
+COLUMNS = (
+    "request_id",
+    "organisation",
+    "service",
+    "backends",
+    "status",
+    "refusal",
+    "ran",
+    "duration_ms",
+    "head",
+)
+
+
+@app.command
+def explain(name: str, *, json: AsJson = False) -> int:
+    """Show why requests ended as they did: NAME is a request id or an organisation."""
+    from berylctl._internal.operations.client import Client, load_client_settings
+
+    views = Client(load_client_settings(None)).get_each(f"requests/{name}")
+    found = [entry for view in views.values() if view for entry in view["requests"]]
+    if json:
+        print_json(found)
+    elif found:
+        print_table("requests", COLUMNS, [[entry[c] for c in COLUMNS] for entry in found])
+    else:
+        print(f"no VM remembers {name}")
+        print("hint: VMs keep their last 2,000 requests, and forget them when they restart")
+    return EXIT_OK if found else EXIT_ERROR
+
+
+@app.command
+def doctor(json: AsJson = False) -> int:
+    """Look at every VM and say what is wrong and what to do."""
+    from berylctl._internal.operations.client import Client, load_client_settings
+    from berylctl._internal.operations.doctor import examine
+
+    findings = examine(Client(load_client_settings(None)).get_each("status"))
+    if json:
+        print_json([finding._asdict() for finding in findings])
+    elif findings:
+        print_table("findings", ("where", "problem", "remedy"), findings)
+    else:
+        print("all VMs serve, and agree")
+    return EXIT_WAITING if findings else EXIT_OK
--- /dev/null
+++ b/packages/berylctl/src/berylctl/_internal/operations/doctor.py
@@ -0,0 +1,60 @@
+"""Looks at the views of all VMs and says what is wrong and what to do."""
+
+from typing import Any, NamedTuple
+
+SILENT_MS = 3_000
+
+
+class Finding(NamedTuple):
+    """Something that an operator should know, and the remedy."""
+
+    where: str
+    problem: str
+    remedy: str
+
+
+def examine(views: dict[str, Any]) -> list[Finding]:
+    """Return what is wrong with a fleet, given each VM's view or None, by address."""
+    found = [
+        Finding(address, "does not answer", "check the VM; see operators/failures.md")
+        for address, view in views.items()
+        if view is None
+    ]
+    answered = [view for view in views.values() if view is not None]
+    for view in answered:
+        found.extend(_examine_vm(view))
+    heads = {view["head"] for view in answered}
+    if len(heads) > 1:
+        found.append(
+            Finding("fleet", f"VMs are on heads {sorted(heads)}", "wait 3 s and look again")
+        )
+    if answered:
+        found.extend(_examine_rights(max(answered, key=lambda view: view["head"])))
+    return found
+
+
+def _examine_vm(view: dict[str, Any]) -> list[Finding]:
+    found = []
+    if not view["store_answers"]:
+        found.append(Finding(view["vm"], "the store does not answer it", "see failures.md, store"))
+    if not view["may_act"] and not view["leaving"]:
+        found.append(Finding(view["vm"], "refuses keyed requests", "see failures.md, no authority"))
+    for peer in view["peers"]:
+        if peer["silent_ms"] is None or peer["silent_ms"] > SILENT_MS:
+            problem = f"has not heard {peer['vm']} for {peer['silent_ms']} ms"
+            found.append(Finding(view["vm"], problem, "check that VM and the network between"))
+    return found
+
+
+def _examine_rights(view: dict[str, Any]) -> list[Finding]:
+    found = []
+    if any(seat["share"] == 0 for seat in view["seats"]):
+        found.append(Finding("fleet", "shares are being settled", "wait 10 s and look again"))
+    orphans = sorted(b["backend"] for b in view["backends"] if b["owner"] is None)
+    if orphans:
+        problem = f"nobody grants slots of {', '.join(orphans)}"
+        found.append(Finding("fleet", problem, "wait 10 s; needs the store"))
+    for backend in view["backends"]:
+        if not backend["usable"] and not backend["draining"]:
+            found.append(Finding(backend["backend"], "fails or sheds", "check that backend server"))
+    return found
--- a/tests/functional/requests.feature
+++ b/tests/functional/requests.feature
@@ -42,6 +42,15 @@
     When the logs and metrics of every VM are read
     Then none of them holds a key or an operator's token
 
+  Scenario: an operator asks why a request was refused
+    When a refused request and a served one carry ids
+    Then "berylctl explain" tells the cause of the first and the server of the second
+
+  Scenario: the doctor finds nothing in a sound fleet, and names what is wrong
+    Then "berylctl doctor" exits with 0
+    When the store is out for the doctor
+    Then "berylctl doctor" exits with 4
+
   Scenario: the two roles of operators
     When somebody with the look token tries to change something
     Then the change is forbidden and the status is shown
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -591,3 +591,38 @@
 @then('the server "{name}" got at most {percent:d} percent of the traffic')
 def step_got(context, name, percent):
     assert context.got[name] * 100 <= percent * sum(context.got.values()), context.got
+
+
+@when("a refused request and a served one carry ids")
+def step_ids(context):
+    for key, name in (("birch-mill", "refused1"), ("alder-mill", "served1")):
+        url = f"http://{HOST}:{port(context)}/booking/1"
+        headers = {"authorization": f"Bearer {context.keys[key]}", "x-request-id": name}
+        context.fleet.http.post(url, headers=headers, content=b"{}")
+
+
+@then('"berylctl explain" tells the cause of the first and the server of the second')
+def step_explained(context):
+    found = {
+        name: json.loads(context.fleet.berylctl("explain", name, "--json").stdout)[0]
+        for name in ("refused1", "served1")
+    }
+    assert found["refused1"]["refusal"] == "not_entitled", found
+    assert found["refused1"]["ran"] == "no" and not found["refused1"]["backends"]
+    assert found["served1"]["backends"][0].startswith("booking-")
+
+
+@then('"berylctl doctor" exits with {code:d}')
+def step_doctor(context, code):
+    def matches():
+        context.doctor = context.fleet.berylctl("doctor", check=False)
+        return context.doctor.returncode == code
+
+    wait_until(matches, "the doctor")
+    assert bool(code) == ("store" in context.doctor.stdout), context.doctor.stdout
+    context.fleet.platform_state(outage=False)
+
+
+@when("the store is out for the doctor")
+def step_out_for_doctor(context):
+    context.fleet.platform_state(outage=True)
