Split long test files, test the server's limits, choose test ports outside the outgoing range

Ruled out: hypercorn's read timeout cutting downloads longer than itself: it does not read during an answer (downloads of 3 s under a limit of 1 s are whole, with and without it). It is off now, as bodies have their own limit; the test stays.

--- a/packages/berylbankd/src/berylbankd/_internal/serving.py
+++ b/packages/berylbankd/src/berylbankd/_internal/serving.py
@@ -11,7 +11,6 @@
 MAX_REQUESTS_PER_CONNECTION = 2**31
 MAX_HEADER_BYTES = 32_768
 KEEP_ALIVE_S = 30.0
-READ_TIMEOUT_S = 30
 BACKLOG = 1_024
 
 
@@ -25,7 +24,7 @@
     config.include_date_header = False
     config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
     config.keep_alive_timeout = KEEP_ALIVE_S
-    config.read_timeout = READ_TIMEOUT_S
+    config.read_timeout = None
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.backlog = BACKLOG
     config.graceful_timeout = grace_ms / 1000
--- /dev/null
+++ b/tests/support/callers.py
@@ -0,0 +1,16 @@
+"""A plain caller of a real fleet."""
+
+from fleet import HOST
+
+BOOKING_SERVERS = ("booking-north", "booking-mid", "booking-south")
+LOOKUP_SERVERS = ("lookup-north", "lookup-mid", "lookup-south")
+
+
+def port(context, name="north-1a"):
+    return context.fleet.ports[name].callers
+
+
+def get(context, path, key, name="north-1a"):
+    headers = {"authorization": f"Bearer {key}"} if key else {}
+    url = f"http://{HOST}:{port(context, name)}{path}"
+    return context.fleet.http.get(url, headers=headers)
--- a/tests/support/model.py
+++ b/tests/support/model.py
@@ -37,6 +37,13 @@
 from berylbankd._internal.entry.filters import TOKEN_WAIT_MS, most_waiters
 from berylbankd._internal.node import Node, Output, Propose, Send, Submit
 from berylbankd._internal.rates.bucket import Bucket, Waiter
+from tests.support.checks import (
+    check_heads,
+    check_shares,
+    check_slots,
+    check_windows,
+    in_force_numbers,
+)
 from tests.support.store import FakeStore, no_sleep, run_now
 
 STEP_MS = 10
@@ -332,56 +339,14 @@
 
     def check(self) -> None:
         """Check what must hold at every moment; raise ``AssertionError``."""
-        in_force = [t.number for t in self._proofs() if t.in_force_ms is not None]
-        self.floor = max([self.floor, *in_force])
-        for vm in self.acting():
-            head = vm.node.authority.head
-            assert head is not None
-            assert head.number >= self.floor, (
-                f"seed {self.seed}, {self.now_ms} ms: {vm.name} acts on head {head.number} "
-                f"below {self.floor}, which is in force"
-            )
-        self._check_shares()
-        self._check_slots()
+        self.floor = max([self.floor, *in_force_numbers(self)])
+        check_heads(self)
+        check_shares(self)
+        check_slots(self)
 
     def check_granted(self, rate: float, burst: float) -> None:
         """Check every window of the grants against rate and burst."""
-        for resource, times in self.granted.items():
-            level, last_ms = 0.0, 0
-            for at_ms in times:
-                level = max(0.0, level - rate * (at_ms - last_ms) / 1000) + 1
-                last_ms = at_ms
-                assert (
-                    level <= burst + 1e-6
-                ), f"seed {self.seed}: {resource} granted {level:.3f} over a burst of {burst}"
-
-    def _check_shares(self) -> None:
-        held: dict[str, int] = {}
-        for vm in self.acting():
-            now_ms = vm.clock.now_ms()
-            for bucket in vm.node.rates.buckets.values():
-                held[bucket.resource] = held.get(bucket.resource, 0) + bucket.held(now_ms)
-        for resource, units in held.items():
-            assert (
-                units <= SHARE_UNITS
-            ), f"seed {self.seed}, {self.now_ms} ms: {units} millionths of {resource} are held"
-
-    def _check_slots(self) -> None:
-        held: dict[str, int] = {}
-        slots: dict[str, int] = {}
-        for vm in self.acting():
-            now_ms = vm.clock.now_ms()
-            for name, pool in vm.node.slots.pools.items():
-                held[name] = held.get(name, 0) + pool.held(now_ms)
-                slots[name] = pool.backend.slots
-        for name, units in held.items():
-            assert (
-                units <= slots[name]
-            ), f"seed {self.seed}, {self.now_ms} ms: {units} slots of {name} are held"
-
-    def _proofs(self) -> list[Acceptance]:
-        proofs = [vm.node.keeper.proof for vm in self.vms.values()]
-        return [*self.trackers, *(proof for proof in proofs if proof is not None)]
+        check_windows(self, rate, burst)
 
     def _send(self, vm: Vm, output: Send) -> None:
         target = self.vms.get(output.vm)
--- a/tools/benches/bench_config.py
+++ b/tools/benches/bench_config.py
@@ -15,6 +15,8 @@
 OTHER_CHANGES = 20
 STORE_SLOW_MS = 300
 FROZEN = "south-004"
+FROZEN_S = 1.0
+WATCHED_S = 3.5
 ENTRY = "north-001"
 
 
@@ -63,14 +65,15 @@
         begin = time.monotonic()
         change = {"organisation": "org-1", "key_name": name}
         fleet.change(ENTRY, "withdraw-key", change, wait_ms=0)
-        while time.monotonic() - begin < 3.5:
-            if with_fault and time.monotonic() - begin > 1.0:
+        frozen = with_fault
+        while time.monotonic() - begin < WATCHED_S:
+            if frozen and time.monotonic() - begin > FROZEN_S:
                 fleet.signal(FROZEN, signal.SIGCONT)
-            for vm, ports in fleet.ports.items():
-                if vm == FROZEN and with_fault and time.monotonic() - begin <= 1.0:
-                    continue
+                frozen = False
+            names = [vm for vm in fleet.ports if not (frozen and vm == FROZEN)]
+            for vm in names:
                 sent = time.monotonic()
-                url = f"http://{HOST}:{ports.callers}/lookup/oak"
+                url = f"http://{HOST}:{fleet.ports[vm].callers}/lookup/oak"
                 if fleet.http.get(url, headers=headers).status_code == 200:
                     latest = max(latest, (sent - begin) * 1000)
     return latest
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -21,6 +21,13 @@
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+PORT_BLOCKS = 40
+PORTS_PER_BLOCK = 500
+
+
+_ports = iter(range(FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK, LAST_PORT))
 
 
 class VmPlace(NamedTuple):
@@ -52,10 +59,19 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free now, outside the range of outgoing connections.
+
+    Each process of tests begins elsewhere, and no port is given twice.
+    """
+    for port in _ports:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no free port")
 
 
 def wait_until(condition: Any, what: str, timeout_s: float = READY_TIMEOUT_S) -> Any:
