--- a/packages/berylbankd/src/berylbankd/_internal/rates/book.py
+++ b/packages/berylbankd/src/berylbankd/_internal/rates/book.py
@@ -30,6 +30,7 @@
 class RateBook:
     """Buckets by name; every use settles against the authority first.
 
+    ``active`` holds those that callers of this VM use, so that the others cost nothing.
     ``peers`` returns the VMs that may lend, nearest first.
     """
 
@@ -42,6 +43,7 @@
         self.timing = timing
         self.peers = peers
         self.buckets: dict[BucketName, Bucket] = {}
+        self.active: dict[BucketName, Bucket] = {}
         self.retired: dict[BucketName, Bucket] = {}
         self.by_resource: dict[str, Bucket] = {}
         self.applied_number = -1
@@ -69,7 +71,11 @@
 
     def find(self, organisation: str, service: str) -> Bucket | None:
         """Return the bucket of an entitlement, or None where there is none."""
-        return self.buckets.get(BucketName(organisation, service))
+        name = BucketName(organisation, service)
+        bucket = self.buckets.get(name)
+        if bucket is not None:
+            self.active[name] = bucket
+        return bucket
 
     def take(self, bucket: Bucket, now_ms: int) -> bool:
         """Take a token for a request that arrived; False when there is none now."""
@@ -81,7 +87,7 @@
     def serve(self, now_ms: int) -> None:
         """Settle every bucket and wake the requests that now have a token."""
         self.refresh(now_ms)
-        for bucket in self.buckets.values():
+        for bucket in self.active.values():
             if bucket.waiters:
                 self._settle(bucket, now_ms)
                 if self.authority.may_act(now_ms):
@@ -100,8 +106,11 @@
         if not self.authority.may_act(now_ms):
             return []
         wants: list[Want] = []
-        for bucket in self.buckets.values():
-            wants.extend(self._plan_bucket(bucket, now_ms))
+        for name, bucket in list(self.active.items()):
+            if bucket.is_idle(now_ms):
+                del self.active[name]
+            else:
+                wants.extend(self._plan_bucket(bucket, now_ms))
         return wants
 
     def prepare(self, want: Want, request_id: int, now_ms: int) -> int:
@@ -141,8 +150,6 @@
 
     def _plan_bucket(self, bucket: Bucket, now_ms: int) -> Iterator[Want]:
         need = bucket.need(now_ms)
-        if not need and not bucket.borrower.loans:
-            return
         peers = self.peers()
         missing = need - bucket.own_left(now_ms)
         renew_before_ms = now_ms + int(self.timing.loan_ms * RENEW_PART)
@@ -193,5 +200,6 @@
                 bucket.burst = entitlement.burst
                 kept[name] = bucket
         self.buckets = kept
+        self.active = {name: bucket for name, bucket in self.active.items() if name in kept}
         self.retired = {name: bucket for name, bucket in known.items() if bucket.lender.records}
         self.by_resource = {bucket.resource: bucket for bucket in kept.values()}
--- a/packages/berylbankd/src/berylbankd/_internal/rates/bucket.py
+++ b/packages/berylbankd/src/berylbankd/_internal/rates/bucket.py
@@ -122,6 +122,10 @@
             share = max(share, self.held(now_ms) / SHARE_UNITS + short)
         return min(SHARE_UNITS, int(share * SHARE_UNITS + 0.5))
 
+    def is_idle(self, now_ms: int) -> bool:
+        """Tell whether nobody here has used or needs the bucket lately."""
+        return not self.waiters and not self.need(now_ms) and not self.borrower.held(now_ms)
+
     def lend(self, borrower: str, want: int, until_ms: int, now_ms: int) -> Lent:
         """Lend up to ``want`` in all to ``borrower``.
 
