Find pooled connections that went silent, and go on with a new one

Cause: with every open connection to the servers silent, idempotent requests waited for their whole timeout and were refused (new scenario, failed first with 504). Change: a used connection gets ten times the usual latency, 250 ms at least; then the server's idle connections are closed and the request goes on a new one, without blame for the server.

--- a/packages/berylbank-standins/src/berylbank_standins/_internal/backend.py
+++ b/packages/berylbank-standins/src/berylbank_standins/_internal/backend.py
@@ -60,6 +60,8 @@
         self.organisations: dict[str, int] = {}
         self.last_request_ms = 0
         self.running = 0
+        self.opened = 0
+        self.silenced = 0
 
     def state(self) -> dict[str, Any]:
         """Return behaviour and counters as a plain document."""
@@ -76,23 +78,27 @@
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection until it closes."""
         connection = h11.Connection(h11.SERVER)
+        self.opened += 1
+        number = self.opened
         async with stream:
             try:
-                while await self._serve_request(connection, stream):
+                while await self._serve_request(connection, stream, number):
                     connection.start_next_cycle()
             except (h11.RemoteProtocolError, anyio.BrokenResourceError, anyio.EndOfStream):
                 return
             except (anyio.ClosedResourceError, h11.LocalProtocolError):
                 return
 
-    async def _serve_request(self, connection: h11.Connection, stream: SocketStream) -> bool:
+    async def _serve_request(
+        self, connection: h11.Connection, stream: SocketStream, number: int
+    ) -> bool:
         received = await _read_request(connection, stream)
         if received is None:
             return False
         if received.request.target == b"/control":
             await self._control(received, connection, stream)
             return True
-        if self.behaviour.silent:
+        if self.behaviour.silent or number <= self.silenced:
             await anyio.sleep(3600)
         self._count(received)
         return await self._run(received, connection, stream)
@@ -169,6 +175,8 @@
     ) -> None:
         if received.request.method == b"POST":
             changes = json.loads(received.body)
+            if changes.pop("silence_open", False):
+                self.silenced = self.opened
             for name in ("fail_paths", "slow_paths"):
                 if name in changes:
                     changes[name] = tuple(changes[name])
--- a/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
@@ -48,6 +48,7 @@
         self.idle_since_ms = now_ms
         self.sent = False
         self.requests = 0
+        self.reused = False
         self.deadline_ms = 0
         self.timed_out = False
 
@@ -72,6 +73,7 @@
         body: AsyncIterator[bytes] | None,
     ) -> None:
         """Send a whole request; raise :class:`BackendFailure`."""
+        self.reused = self.requests > 0
         self.requests += 1
         self.sent = False
         try:
--- a/packages/berylbankd/src/berylbankd/_internal/backends/pool.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/pool.py
@@ -33,6 +33,11 @@
         else:
             await connection.aclose()
 
+    async def drop(self, address: str) -> None:
+        """Close the idle connections to a server of which one has gone silent."""
+        for connection in self.idle.pop(address, []):
+            await connection.aclose()
+
     async def close_idle(self, now_ms: int) -> None:
         """Close connections that are old, idle for long or closed by the other end."""
         for address, waiting in list(self.idle.items()):
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -32,6 +32,8 @@
 RETRY_BUDGET_PART = 0.1
 RETRY_BUDGET_MOST = 20.0
 BODY_STALL_S = 10.0
+SILENCE_FACTOR = 10
+SILENCE_LEAST_MS = 250
 
 
 class CallerGoneError(Exception):
@@ -138,14 +140,15 @@
         assert exchange.service is not None
         now_ms = self.coordinator.clock.now_ms
         address = pool.backend.address
+        fresh = not exchange.idempotent or bool(exchange.backends)
         try:
-            connection = await self.pool.acquire(address, now_ms(), fresh=not exchange.idempotent)
+            connection = await self.pool.acquire(address, now_ms(), fresh=fresh)
         except BackendFailure:
             pool.health.note_failure(now_ms())
             return Attempt(Refusal(RefusalKind.NO_BACKEND), retryable=True)
         started_ms = now_ms()
         exchange.backends += (pool.backend.name,)
-        connection.deadline_ms = started_ms + exchange.service.timeout_ms
+        connection.deadline_ms = started_ms + self._patience_ms(exchange, pool, connection)
         self.watch.active.add(connection)
         keep = False
         try:
@@ -162,6 +165,21 @@
                 with anyio.CancelScope(shield=True):
                     await connection.aclose()
 
+    def _patience_ms(
+        self, exchange: Exchange, pool: SlotPool, connection: BackendConnection
+    ) -> int:
+        """Return how long to wait for the head of an answer.
+
+        A connection that was used before may have gone silent without a sign. Where the request
+        may run twice, it gets little time for that, and another try on a new connection the rest.
+        """
+        assert exchange.service is not None
+        timeout_ms = exchange.service.timeout_ms
+        if not connection.requests or not exchange.idempotent or not exchange.body_complete:
+            return timeout_ms
+        usual_ms = int(SILENCE_FACTOR * pool.health.latency_ms)
+        return min(timeout_ms // MAX_ATTEMPTS, max(SILENCE_LEAST_MS, usual_ms))
+
     async def _exchange(
         self, exchange: Exchange, pool: SlotPool, connection: BackendConnection, started_ms: int
     ) -> Attempt:
@@ -174,6 +192,9 @@
             head = await connection.receive_head()
         except BackendFailure as failure:
             now_ms = self.coordinator.clock.now_ms()
+            if self._went_silent(exchange, connection):
+                await self.pool.drop(pool.backend.address)
+                return Attempt(Refusal(RefusalKind.DEADLINE, Ran.UNKNOWN), retryable=True)
             pool.health.note_failure(now_ms)
             self._note_evidence(exchange, pool, True, now_ms - started_ms)
             return self._failed(exchange, connection, failure)
@@ -193,6 +214,10 @@
         else:
             pool.health.note_success(now_ms - started_ms)
 
+    def _went_silent(self, exchange: Exchange, connection: BackendConnection) -> bool:
+        """Tell whether a used connection broke or went silent: no word on the server itself."""
+        return connection.reused and exchange.idempotent and exchange.body_complete
+
     def _note_evidence(
         self, exchange: Exchange, pool: SlotPool, failed: bool, latency_ms: int
     ) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/entry/slot_gate.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/slot_gate.py
@@ -10,6 +10,7 @@
 MAX_WAITING_PER_ORGANISATION = 64
 WAIT_PART = 4
 OPEN_ALLOWANCE = 1
+NONE_TRIED: frozenset[str] = frozenset()
 
 
 class SlotWaiter:
@@ -115,10 +116,11 @@
             waiter.event.set()
 
     def _take(self, slots: ServiceSlots, excluded: frozenset[str], side: Side) -> SlotPool | None:
+        """Take a slot, of a server that was not tried before where there is one."""
         now_ms = self.coordinator.clock.now_ms()
         if not self.coordinator.authority.may_act(now_ms):
             return None
-        pool = slots.choose(now_ms, excluded, side)
+        pool = slots.choose(now_ms, excluded, side) or slots.choose(now_ms, NONE_TRIED, side)
         if pool is not None:
             pool.in_use += 1
         return pool
--- a/tests/functional/requests.feature
+++ b/tests/functional/requests.feature
@@ -54,3 +54,8 @@
   Scenario: the two roles of operators
     When somebody with the look token tries to change something
     Then the change is forbidden and the status is shown
+
+  Scenario: open connections to backend servers go silent while new ones work
+    Given lookups have opened connections to every server
+    When those connections go silent
+    Then 30 lookups in a row are answered
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -3,6 +3,7 @@
 import json
 import re
 import socket
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import anyio
@@ -258,3 +259,17 @@
 @when("the store is out for the doctor")
 def step_out_for_doctor(context):
     context.fleet.platform_state(outage=True)
+
+
+@given("lookups have opened connections to every server")
+def step_open(context):
+    with ThreadPoolExecutor(12) as pool:
+        key = context.keys["alder-mill"]
+        answers = list(pool.map(lambda _n: get(context, "/lookup/oak", key), range(60)))
+    assert all(answer.status_code == 200 for answer in answers)
+
+
+@when("those connections go silent")
+def step_silence_open(context):
+    for name in LOOKUP_SERVERS:
+        context.fleet.backend_state(name, silence_open=True)
