Say 'not run' only if no try was sent

Cause: reading the dispatcher: after a try that may have run, a later one that was shed, unreachable or refused put 'ran: no' into the refusal: a lie, and the token was given back.

--- a/packages/berylbank-standins/src/berylbank_standins/_internal/backend.py
+++ b/packages/berylbank-standins/src/berylbank_standins/_internal/backend.py
@@ -16,7 +16,8 @@
     """How the backend server behaves now.
 
     ``fail_paths`` and ``slow_paths`` are prefixes of routes; ``truncate`` ends answers half-way,
-    ``silent`` keeps connections open without a word, ``late_ms`` delays answers.
+    ``silent`` keeps connections open without a word, ``drop`` closes them after a request,
+    ``late_ms`` delays answers.
     """
 
     slots: int = 8
@@ -29,6 +30,7 @@
     slow_paths: tuple[str, ...] = ()
     slow_ms: int = 1_000
     close_idle: bool = False
+    drop: bool = False
     lying_load: int | None = None
 
 
@@ -101,6 +103,8 @@
         if self.behaviour.silent or number <= self.silenced:
             await anyio.sleep(3600)
         self._count(received)
+        if self.behaviour.drop:
+            return False
         return await self._run(received, connection, stream)
 
     async def _run(
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -58,6 +58,15 @@
     refusal: Refusal | None = None
     retryable: bool = False
 
+    def after(self, earlier: Refusal | None) -> Refusal | None:
+        """Return the refusal of this attempt, given the one before.
+
+        What may have run in any attempt may have run.
+        """
+        if self.refusal is None or earlier is None or earlier.ran is Ran.NO:
+            return self.refusal
+        return self.refusal._replace(ran=earlier.ran)
+
 
 ANSWERED = Attempt()
 
@@ -102,14 +111,15 @@
         refusal: Refusal | None = None
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self.budget.take():
-                return refusal
+                break
             pool = await self._acquire(exchange, tried)
             if pool is None:
-                return refusal or Refusal(RefusalKind.NO_SLOT)
+                refusal = refusal or Refusal(RefusalKind.NO_SLOT)
+                break
             result = await self._attempt_and_release(exchange, pool)
-            refusal = result.refusal
+            refusal = result.after(refusal)
             if refusal is None or not result.retryable:
-                return refusal
+                break
             tried |= {pool.backend.name}
         return refusal
 
--- a/tests/functional/requests.feature
+++ b/tests/functional/requests.feature
@@ -59,3 +59,7 @@
     Given lookups have opened connections to every server
     When those connections go silent
     Then 30 lookups in a row are answered
+
+  Scenario: a refusal after several tries says "not run" only if none of them was sent
+    When the nearest lookup server drops requests and the others shed
+    Then a lookup is refused and says that it ran "unknown"
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -273,3 +273,19 @@
 def step_silence_open(context):
     for name in LOOKUP_SERVERS:
         context.fleet.backend_state(name, silence_open=True)
+
+
+@when("the nearest lookup server drops requests and the others shed")
+def step_drop(context):
+    for name in LOOKUP_SERVERS:
+        nearest = name == "lookup-north"
+        context.fleet.backend_state(name, drop=nearest, shed=not nearest)
+
+
+@then('a lookup is refused and says that it ran "{ran}"')
+def step_lookup_refused(context, ran):
+    answer = get(context, "/lookup/oak", context.keys["alder-mill"])
+    for name in LOOKUP_SERVERS:
+        context.fleet.backend_state(name, drop=False, shed=False)
+    assert answer.status_code >= 500, answer.text
+    assert answer.json()["ran"] == ran, answer.text
--- a/tools/benches/bench_control.py
+++ b/tools/benches/bench_control.py
@@ -54,7 +54,7 @@
 
 
 def measure_blocks() -> dict[str, float]:
-    """Measure the table of client blocks at the size of the letter."""
+    """Measure the table of client blocks at the size to come."""
     randomness = random.Random(1)
     starts = sorted(randomness.sample(range(2**24), BLOCKS))
     ranges = [
