--- a/tests/steps/coordination_steps.py
+++ b/tests/steps/coordination_steps.py
@@ -242,6 +242,20 @@
         assert isinstance(outcome, Written)
 
 
+@when("every VM restarts")
+def step_all_restart(context):
+    context.reads = context.model.store.reads
+    context.restarted_ms = context.model.now_ms
+    for name in list(context.model.vms):
+        context.model.restart(name)
+
+
+@then("the store was read less than {limit:d} times a second")
+def step_reads(context, limit):
+    elapsed_s = (context.model.now_ms - context.restarted_ms) / 1000
+    assert (context.model.store.reads - context.reads) / max(1.0, elapsed_s) < limit
+
+
 @then("it serves again within {limit_ms:d} ms")
 def step_serves_again(context, limit_ms):
     model = context.model
--- a/tests/unit/coordination/authority.feature
+++ b/tests/unit/coordination/authority.feature
@@ -61,6 +61,12 @@
     When an operator declares them ended
     Then the fleet is whole again
 
+  Scenario: every VM restarts at once
+    Given a settled fleet of 5 VMs
+    When every VM restarts
+    Then the fleet is whole again
+    And the store was read less than 200 times a second
+
   Scenario: a region cut off without the store refuses, the others go on
     Given a settled fleet of 6 VMs
     When the region "south" is cut off without the store
