--- a/packages/berylctl/src/berylctl/_internal/commands/shift.py
+++ b/packages/berylctl/src/berylctl/_internal/commands/shift.py
@@ -1,6 +1,6 @@
 """``berylctl release``, ``move``, ``cancel`` and ``shifts``."""
 
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
 import cyclopts
 
@@ -34,6 +34,14 @@
 STATE_EXITS = {DONE: EXIT_OK, UNDONE: EXIT_NOT_DONE}
 
 
+class Sides(NamedTuple):
+    """What a shift goes from and to."""
+
+    by: str
+    source: str
+    target: str
+
+
 @app.command
 def release(
     service: str,
@@ -47,15 +55,8 @@
     json: AsJson = False,
 ) -> int:
     """Move SERVICE to a new version in small steps; a bad one is taken back."""
-    shift = Shift(
-        name=f"{service}-{target}",
-        service=service,
-        by=BY_VERSION,
-        source=source,
-        target=target,
-        step_ms=int(step_time * 1000),
-        within_ms=int(within * 1000),
-    )
+    sides = Sides(BY_VERSION, source, target)
+    shift = _make_shift(service, sides, step_time, within)
     return _report(_start(shift, operation_id), shift.name, watch, json)
 
 
@@ -73,16 +74,8 @@
     json: AsJson = False,
 ) -> int:
     """Move SERVICE from one region to another in steps that never pass the cap."""
-    shift = Shift(
-        name=f"{service}-{target}",
-        service=service,
-        by=BY_REGION,
-        source=source,
-        target=target,
-        steps=_steps_up_to(cap),
-        step_ms=int(step_time * 1000),
-        within_ms=int(within * 1000),
-    )
+    sides = Sides(BY_REGION, source, target)
+    shift = _make_shift(service, sides, step_time, within)._replace(steps=_steps_up_to(cap))
     return _report(_start(shift, operation_id), shift.name, watch, json)
 
 
@@ -109,6 +102,18 @@
     return EXIT_OK
 
 
+def _make_shift(service: str, sides: Sides, step_time: float, within: float) -> Shift:
+    return Shift(
+        name=f"{service}-{sides.target}",
+        service=service,
+        by=sides.by,
+        source=sides.source,
+        target=sides.target,
+        step_ms=int(step_time * 1000),
+        within_ms=int(within * 1000),
+    )
+
+
 def _start(shift: Shift, operation_id: str | None) -> dict[str, Any]:
     from berylbank._internal.models.changes import StartShift
     from berylctl._internal.operations.changes import submit_change
