--- a/packages/berylbank/src/berylbank/_internal/models/changes.py
+++ b/packages/berylbank/src/berylbank/_internal/models/changes.py
@@ -86,6 +86,17 @@
 )
 
 
+CHANGE_KINDS: dict[str, type[Change]] = {
+    "apply": ApplyLists,
+    "grant-key": GrantKey,
+    "withdraw-key": WithdrawKey,
+    "set-draining": SetDraining,
+    "start-shift": StartShift,
+    "cancel-shift": CancelShift,
+    "forget-vm": ForgetVm,
+}
+
+
 def apply_change(current: Configuration, number: int, change: Change) -> Configuration:
     """Return the configuration after ``change`` to the one at head ``number``.
 
--- a/packages/berylbankd/src/berylbankd/_internal/operators/changes.py
+++ b/packages/berylbankd/src/berylbankd/_internal/operators/changes.py
@@ -6,17 +6,7 @@
 import anyio
 
 from berylbank._internal.exceptions import BerylbankError, InvalidDocumentError
-from berylbank._internal.models.changes import (
-    ApplyLists,
-    CancelShift,
-    Change,
-    ForgetVm,
-    GrantKey,
-    SetDraining,
-    StartShift,
-    WithdrawKey,
-    describe_change,
-)
+from berylbank._internal.models.changes import CHANGE_KINDS, Change, describe_change
 from berylbank._internal.models.head import Head
 from berylbank._internal.utils.records import RecordError, decode
 from berylbankd._internal.authority.acceptance import Acceptance
@@ -36,15 +26,6 @@
 )
 from berylbankd._internal.coordinator import Coordinator, edit_with_change
 
-CHANGE_KINDS: dict[str, type[Any]] = {
-    "apply": ApplyLists,
-    "grant-key": GrantKey,
-    "withdraw-key": WithdrawKey,
-    "set-draining": SetDraining,
-    "start-shift": StartShift,
-    "cancel-shift": CancelShift,
-    "forget-vm": ForgetVm,
-}
 POLL_S = 0.02
 KEPT_TRACKERS = 256
 
@@ -52,10 +33,10 @@
 def parse_change(raw: Mapping[str, Any]) -> Change:
     """Read a change from a request; raise :class:`InvalidDocumentError`."""
     kind = raw.get("kind")
-    if kind not in CHANGE_KINDS:
+    if not isinstance(kind, str) or kind not in CHANGE_KINDS:
         raise InvalidDocumentError(f"unknown kind of change {kind!r}", hint="upgrade berylctl")
     try:
-        change: Change = decode(CHANGE_KINDS[kind], raw.get("change"))
+        change = decode(CHANGE_KINDS[kind], raw.get("change"))
     except RecordError as error:
         raise InvalidDocumentError(
             error.message, context=f"change, key {error.path}", hint="correct that key"
--- a/packages/berylctl/src/berylctl/_internal/operations/changes.py
+++ b/packages/berylctl/src/berylctl/_internal/operations/changes.py
@@ -4,28 +4,11 @@
 import time
 from typing import Any
 
-from berylbank._internal.models.changes import (
-    ApplyLists,
-    CancelShift,
-    Change,
-    ForgetVm,
-    GrantKey,
-    SetDraining,
-    StartShift,
-    WithdrawKey,
-)
+from berylbank._internal.models.changes import CHANGE_KINDS, Change
 from berylbank._internal.utils.records import encode
 from berylctl._internal.operations.client import Client
 
-KIND_NAMES: dict[type, str] = {
-    ApplyLists: "apply",
-    GrantKey: "grant-key",
-    WithdrawKey: "withdraw-key",
-    SetDraining: "set-draining",
-    StartShift: "start-shift",
-    CancelShift: "cancel-shift",
-    ForgetVm: "forget-vm",
-}
+KIND_NAMES = {kind: name for name, kind in CHANGE_KINDS.items()}
 DRAIN_POLL_S = 0.2
 
 
