--- a/packages/berylbankd/src/berylbankd/_internal/entry/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/exchange.py
@@ -35,7 +35,6 @@
         self.bucket: Bucket | None = None
         self.status = 0
         self.backends: tuple[str, ...] = ()
-        self.answering = False
         self.record = False
         self.answered = False
         self.answer_headers: HeaderList = []
@@ -46,7 +45,6 @@
     async def send_start(self, status: int, headers: HeaderList) -> None:
         """Begin the answer."""
         self.status = status
-        self.answering = True
         self.answer_headers = headers
         await self.send({"type": "http.response.start", "status": status, "headers": headers})
 
--- a/packages/berylbankd/src/berylbankd/_internal/shifts/keeper.py
+++ b/packages/berylbankd/src/berylbankd/_internal/shifts/keeper.py
@@ -44,6 +44,7 @@
 
     def __init__(self, shift: Shift, now_ms: int) -> None:
         self.shift = shift
+        self.key = shift.key()
         self.since_ms = now_ms
         self.credit = 0
         self.window = Window(shift.step_ms)
@@ -76,7 +77,7 @@
         if state is None:
             return self.unshifted.get(service, ANYWHERE)
         source = state.side(target=False)
-        if state.shift.key() in self.cuts or state.shift.state == UNDONE:
+        if state.key in self.cuts or state.shift.state == UNDONE:
             return Choice(source)
         share = state.shift.share()
         state.credit = min(FULL_SHARE, state.credit + share)
@@ -129,7 +130,7 @@
                 continue
             judgement = self._judge(now_ms, head, state)
             if judgement.verdict is Verdict.BAD:
-                self.cuts |= {state.shift.key()}
+                self.cuts |= {state.key}
             change = self._decide_shift(now_ms, head, state, judgement)
             due = due or change
         return due if acting else None
@@ -140,7 +141,7 @@
         shift = state.shift
         elapsed_ms = now_ms - state.since_ms
         spent_ms = shift.spent_ms + elapsed_ms
-        if shift.key() in self.cuts:
+        if state.key in self.cuts:
             reason = judgement.reason if judgement.verdict is Verdict.BAD else "found bad"
             return StepShift(shift.name, shift.step, shift.step, UNDONE, spent_ms, reason)
         if shift.state != RUNNING:
@@ -172,7 +173,7 @@
             return alone
         oldest_ms = now_ms - self.timing.suspect_ms
         parts = [
-            peer.tallies.get(state.shift.key(), {})
+            peer.tallies.get(state.key, {})
             for vm, peer in self.peers.items()
             if peer.at_ms >= oldest_ms and vm in head.vms()
         ]
