Prefer affinity to the own failure domain except for downloads; name the organisation of each refusal

Each object was new to six failure domains' servers in place of three regions'. Ruled out: queueing (32 of 144 slots in use).

--- a/packages/berylbankd/src/berylbankd/_internal/facts/deployment.py
+++ b/packages/berylbankd/src/berylbankd/_internal/facts/deployment.py
@@ -14,6 +14,8 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     quota_window_ms: int = 5_000
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
     canary_share: float = 0.1
     canary_slack: float = 50.0
     rollback_ms: int = 5_000
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -26,7 +26,6 @@
     """What the filters found out about a request."""
 
     route: Route
-    organisation: Organisation | None
     regions: frozenset[str]
 
 
@@ -64,7 +63,7 @@
         state = RequestState()
         admitted = self._admit(exchange)
         if isinstance(admitted, Refusal):
-            await self._finish(exchange, None, state, admitted)
+            await self._finish(exchange, state, admitted)
             return
         try:
             await exchange.read_body()
@@ -72,7 +71,7 @@
             return
         except TimeoutError:
             refusal = Refusal(RefusalKind.CALLER_TOO_SLOW)
-            await self._finish(exchange, admitted, state, refusal)
+            await self._finish(exchange, state, refusal)
             return
         await self._run(exchange, admitted, state)
 
@@ -83,24 +82,28 @@
         configuration = world.configuration
         if configuration is None:
             return Refusal(RefusalKind.NO_CONFIGURATION, retry_after_s=FIRST_RETRY_S)
-        request = exchange.request
-        route = world.find_route(request.host, exchange.path)
+        route = world.find_route(exchange.request.host, exchange.path)
         if route is None:
             return Refusal(RefusalKind.UNKNOWN_SERVICE)
-        organisation = None
+        exchange.route = route
         if configuration.keyed and not route.public:
-            organisation = world.organisations.get(request.key)
-            if organisation is None:
+            exchange.organisation = world.organisations.get(exchange.request.key)
+            if exchange.organisation is None:
                 return Refusal(RefusalKind.UNKNOWN_KEY)
-        if not request.request_id:
+        return self._admit_known(exchange, route)
+
+    def _admit_known(self, exchange: CallerExchange, route: Route) -> Admitted | Refusal:
+        """Apply what the route and the organisation allow."""
+        if not exchange.request.request_id:
             return Refusal(RefusalKind.MALFORMED)
+        organisation = exchange.organisation
         regions = join_regions(route, organisation)
         if regions is None:
             return Refusal(RefusalKind.NO_BACKEND)
         now_ms = self.clock.now_ms()
         if organisation is not None and not self.steering.quotas.admit(organisation, now_ms):
             return Refusal(RefusalKind.OVER_RATE)
-        return Admitted(route, organisation, regions)
+        return Admitted(route, regions)
 
     # Dispatch
 
@@ -121,9 +124,9 @@
         )
         result = await self._run_watched(exchange, ask, deadline_ms, state)
         if result is not None:
-            await self._finish(exchange, admitted, state, result)
+            await self._finish(exchange, state, result)
         else:
-            self._record(exchange, admitted, state, 0, "caller_gone")
+            self._record(exchange, state, 0, "caller_gone")
 
     async def _run_watched(
         self, exchange: CallerExchange, ask: Ask, deadline_ms: int, state: RequestState
@@ -154,13 +157,12 @@
     async def _finish(
         self,
         exchange: CallerExchange,
-        admitted: Admitted | None,
         state: RequestState,
         result: WholeAnswer | Refusal,
     ) -> None:
         if isinstance(result, Refusal):
             await exchange.refuse(result)
-            self._record(exchange, admitted, state, result.text.status, result.kind.value)
+            self._record(exchange, state, result.text.status, result.kind.value)
             return
         cause = "served"
         if result.rest is None:
@@ -168,7 +170,7 @@
             await exchange.send_part(result.body, last=True)
         else:
             cause = await self._relay(exchange, result)
-        self._record(exchange, admitted, state, result.status, cause)
+        self._record(exchange, state, result.status, cause)
 
     async def _relay(self, exchange: CallerExchange, answer: WholeAnswer) -> str:
         """Pass on an answer that is too long to buffer; leave it incomplete if it breaks off."""
@@ -206,18 +208,17 @@
     def _record(
         self,
         exchange: CallerExchange,
-        admitted: Admitted | None,
         state: RequestState,
         status: int,
         cause: str,
     ) -> None:
         world = self.steering.world
-        organisation = admitted.organisation if admitted is not None else None
+        organisation, route = exchange.organisation, exchange.route
         self.journal.record(
             RequestRecord(
                 request_id=exchange.request.request_id.decode("latin-1"),
-                route=admitted.route.name if admitted is not None else "",
-                kind=admitted.route.kind.value if admitted is not None else "",
+                route=route.name if route is not None else "",
+                kind=route.kind.value if route is not None else "",
                 organisation=organisation.name if organisation is not None else "",
                 servers=tuple(state.servers),
                 status=status,
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from berylbankd._internal.facts.types import Organisation, Route
 from berylbankd._internal.ingress.codec import CallerRequest, HeaderCodec, HeaderList
 from berylbankd._internal.refusals import Refusal
 
@@ -41,6 +42,8 @@
         self.body_complete = not any(
             name in (b"content-length", b"transfer-encoding") for name, _ in self.headers
         )
+        self.route: Route | None = None
+        self.organisation: Organisation | None = None
         self.started = False
         self.closing = False
 
--- a/packages/berylbankd/src/berylbankd/_internal/main.py
+++ b/packages/berylbankd/src/berylbankd/_internal/main.py
@@ -55,7 +55,7 @@
     if check:
         print(f"{path}: settings are valid")
         return 0
-    anyio.run(application.run)
+    anyio.run(application.run, backend_options={"use_uvloop": True})
     return 0
 
 
--- a/packages/berylbankd/src/berylbankd/_internal/platform/settings.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/settings.py
@@ -82,6 +82,8 @@
         retry_ratio=number("retryBudgetRatio", default.retry_ratio),
         retry_slack=number("budgetSlack", default.retry_slack),
         quota_window_ms=ms("quotaWindowS", default.quota_window_ms),
+        quota_overage=number("quotaOverage", default.quota_overage),
+        quota_slack=number("quotaSlack", default.quota_slack),
         canary_share=number("canaryShare", default.canary_share),
         canary_slack=number("canarySlack", default.canary_slack),
         rollback_ms=ms("rollbackS", default.rollback_ms),
--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -26,7 +26,9 @@
 class Wanted(NamedTuple):
     """What a request asks of placement.
 
-    ``wait_slots`` is how many requests per slot may wait at a server ahead of this one.
+    ``failure_domain`` is where a server is preferred, empty where affinity matters more than
+    bytes between failure domains. ``wait_slots`` is how many requests per slot may wait at a
+    server ahead of this one.
     """
 
     object_key: str
@@ -41,10 +43,10 @@
 
 
 def rank_servers(servers: Iterable[ServerState], wanted: Wanted) -> list[ServerState]:
-    """Order servers for an object: those of the own failure domain first, then by hash."""
+    """Order servers for an object: those of a preferred failure domain first, then by hash."""
 
     def order(state: ServerState) -> tuple[bool, float]:
-        away = state.entry.failure_domain != wanted.failure_domain
+        away = bool(wanted.failure_domain) and (state.entry.failure_domain != wanted.failure_domain)
         return away, hash_unit(wanted.object_key, state.entry.id)
 
     return sorted(servers, key=order)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from berylbankd._internal.facts.deployment import Deployment
-from berylbankd._internal.facts.types import ReleaseState, Route
+from berylbankd._internal.facts.types import ReleaseState, RequestKind, Route
 from berylbankd._internal.peers.messages import Figure, Heartbeat, Position, ReleaseReport
 from berylbankd._internal.steering.membership import Membership
 from berylbankd._internal.steering.placement import Wanted, choose_server, hash_unit
@@ -71,7 +71,7 @@
         self.incarnation = incarnation
         self.world = World(documents)
         self.members = Membership(deployment)
-        self.quotas = QuotaBook(now_ms)
+        self.quotas = QuotaBook(deployment.bounds, now_ms)
         self.budgets: dict[str, RetryBudget] = {}
         self.splits: dict[str, RegionSplit] = {}
         self.allowances: dict[str, ColdAllowance] = {}
@@ -282,7 +282,7 @@
                 regions.setdefault(region, []).append(state)
         wanted = Wanted(
             ask.object_key if ask.route.sticky else "",
-            self.deployment.failure_domain,
+            self.deployment.failure_domain if ask.route.kind is RequestKind.DOWNLOAD else "",
             ask.tried,
             self._wait_slots(ask),
         )
--- a/packages/berylbankd/src/berylbankd/_internal/steering/world.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/world.py
@@ -156,7 +156,9 @@
         for route in sorted(found.routes, key=lambda item: -len(item.prefix)):
             self.routes.setdefault(route.host, []).append(route)
         self.organisations = {key: org for org in found.organisations for key in org.keys}
-        logger.info("configuration {} in force, revision {}", found.version, row.revision)
+        logger.bind(
+            rates={org.name: [org.rate_per_s, org.burst] for org in found.organisations}
+        ).info("configuration {} in force, revision {}", found.version, row.revision)
 
     def _apply_server(self, row: Row, now_ms: int) -> None:
         entry = self.documents.decode_server(row)
