Trace the flaky channel test: the middle dialled a receiver that did not listen yet

Cause: beside load the middle's listener may open before the receiver's; its refused dial ended the whole task group. Ruled out: the silence limits (0.5 s) and the 30 s limit. The check is stricter now: every connection open at that moment is silenced, and a later one must carry the message.

--- a/tests/steps/channel_steps.py
+++ b/tests/steps/channel_steps.py
@@ -223,7 +223,12 @@
         context.connections += 1
         number = context.connections
         host, _, port = address.rpartition(":")
-        onward = await anyio.connect_tcp(host, int(port))
+        try:
+            onward = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            # The receiver may not listen yet; the sender dials again.
+            await stream.aclose()
+            return
         async with stream, onward, anyio.create_task_group() as both:
             both.start_soon(relay, stream, onward, number)
             both.start_soon(relay, onward, stream, number)
@@ -238,7 +243,8 @@
             while not context.received:
                 sender.send("b", HeadAck(1, 1))
                 await anyio.sleep(0.02)
-            silent.add(1)
+            silent.update(range(1, context.connections + 1))
+            context.silenced = context.connections
             while all(envelope.message.known != 2 for envelope in context.received):
                 sender.send("b", HeadAck(1, 2))
                 await anyio.sleep(0.02)
@@ -248,4 +254,4 @@
 @then("a message arrives on a new connection")
 def step_new_connection(context):
     assert any(envelope.message.known == 2 for envelope in context.received)
-    assert context.connections >= 2
+    assert context.connections > context.silenced
