Count a request under the release that was under way when it left

The new scenario fails without the change. Ruled out: SIGTERM itself (the requests broke off when the process ended by itself).

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/reader.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/reader.py
@@ -46,6 +46,7 @@
         client: httpx.AsyncClient,
         world: World,
         members: Membership,
+        *,
         clock: Clock,
         peer_port: int,
         changed: Callable[[], None],
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -54,10 +54,11 @@
 
 
 class Pick(NamedTuple):
-    """The server chosen, and whether it runs the new version of a release."""
+    """The server chosen, the release under way, and whether the server runs its new version."""
 
     server: ServerState
     new: bool
+    release: Release | None
 
 
 class Steering:
@@ -132,16 +133,14 @@
     def note_dispatch(self, pick: Pick) -> None:
         """Count a request that is about to leave."""
         pick.server.in_flight += 1
-        release = self.releases.get(pick.server.entry.service)
-        if release is not None:
-            release.note_dispatch(pick.new)
+        if pick.release is not None:
+            pick.release.note_dispatch(pick.new)
 
     def note_end(self, pick: Pick) -> None:
         """Count a dispatch that has ended, however it did."""
         pick.server.in_flight -= 1
-        release = self.releases.get(pick.server.entry.service)
-        if release is not None:
-            release.note_end(pick.new)
+        if pick.release is not None:
+            pick.release.note_end(pick.new)
 
     def note_answer(
         self, ask: Ask, pick: Pick, *, failed: bool, latency_ms: float, now_ms: int
@@ -155,7 +154,7 @@
             self.service_ms[service] = known + SERVICE_TIME_WEIGHT * (latency_ms - known)
         if not failed and not pick.new:
             self.latencies.note(route.name, latency_ms)
-        release = self.releases.get(service)
+        release = pick.release
         if release is not None:
             release.note_answer(route.name, pick.new, failed or (slow and not cold))
             self._judge(release, now_ms)
@@ -288,7 +287,7 @@
         for region in self._order_regions(ask, groups):
             found = groups[region].choose(wanted, admits, now_ms)
             if found is not None:
-                return Pick(found, new)
+                return Pick(found, new, self.releases.get(ask.service))
         return None
 
     def _groups_of_side(self, service: str, new: bool) -> dict[str, ServerGroup]:
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -92,9 +92,9 @@
             client,
             self.steering.world,
             self.steering.members,
-            self.clock,
-            place.peer_port,
-            self._facts_changed,
+            clock=self.clock,
+            peer_port=place.peer_port,
+            changed=self._facts_changed,
         )
         self.driver = ReleaseDriver(self.steering, self.reader, store, self.clock)
         self.registry = VmRegistry(store, self.steering.members, documents.vms_table)
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -1,6 +1,7 @@
 """Set-up of behave: imports, and one fleet of processes for each feature that asks for it."""
 
 import sys
+from contextlib import ExitStack
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -12,8 +13,38 @@
         from tests.support.fleets import open_fleet
 
         context.fleet_stack, context.fleet, context.keys = open_fleet()
+    if "steering" in feature.tags:
+        open_steering(context)
 
 
 def after_feature(context, feature):
     if "fleet" in feature.tags:
         context.fleet_stack.close()
+    if "steering" in feature.tags:
+        context.steering_stack.close()
+
+
+def before_scenario(context, scenario):
+    if "steering" in scenario.feature.tags:
+        # Each scenario begins with sound servers, VMs and store.
+        restore_steering(context)
+
+
+def open_steering(context):
+    """Start one fleet of daemons for a feature, run by an event loop in another thread."""
+    from anyio.from_thread import start_blocking_portal
+    from steering_fleet import open_steering_fleet
+
+    context.steering_stack = ExitStack()
+    context.portal = context.steering_stack.enter_context(start_blocking_portal())
+    manager = context.portal.wrap_async_context_manager(open_steering_fleet())
+    context.steering = context.steering_stack.enter_context(manager)
+    context.steering.numbers = 0
+    context.steering.moved = None
+    context.steering.withdrawn = False
+
+
+def restore_steering(context):
+    from tests.steps.steering_fleet_steps import restore
+
+    restore(context)
--- a/tests/steps/steered_release_steps.py
+++ b/tests/steps/steered_release_steps.py
@@ -1,12 +1,17 @@
 """Steps on releases over a modelled fleet, on virtual time and a fixed seed."""
 
+import json
 import random
 
 from behave import given, then, when
 
 from berylbankd._internal.facts.deployment import Bounds
-from berylbankd._internal.facts.types import ReleaseOrder
+from berylbankd._internal.facts.rows import Row, RowKey
+from berylbankd._internal.facts.types import ReleaseOrder, RequestKind, Route
+from berylbankd._internal.peers.codec import decode_heartbeat, encode_heartbeat
 from berylbankd._internal.steering.releases import LatencyBook, Release
+from berylbankd._internal.steering.steering import Ask, Steering
+from tests.support.steering import DOCUMENTS, entry_row, make_place
 
 SEED = 20261204
 STEP_MS = 10
@@ -174,3 +179,32 @@
     fleet = context.fleet_model
     if len(fleet.bad_ms) >= 50:
         assert max(fleet.new_sent) <= fleet.bad_ms[49] + 5_000
+
+
+@given("a VM with a request under way")
+def step_under_way(context):
+    context.steering_model = Steering(make_place(), DOCUMENTS, 1, 0)
+    context.steering_model.world.apply(entry_row("s0", 1), 0)
+    route = Route(
+        "reads", "a", "/", RequestKind.SAFE, (), 1000, 300, 2, 1, False, True, frozenset()
+    )
+    ask = Ask(route, "desk", "o1", frozenset(), frozenset(), 1000)
+    context.pick = context.steering_model.pick(ask, 0)
+    context.steering_model.note_dispatch(context.pick)
+
+
+@when("a release is ordered and the request ends")
+def step_ordered(context):
+    order = {"service": "desk", "to": "v2", "durationS": 10}
+    key = RowKey(DOCUMENTS.orders_table, "rollout/desk")
+    context.steering_model.world.apply(Row(key, json.dumps(order).encode(), 2), 10)
+    context.steering_model.sync_releases(10)
+    context.steering_model.note_end(context.pick)
+
+
+@then("the VM reports no requests on the old version")
+def step_no_requests(context):
+    beat = context.steering_model.make_heartbeat(True, True, {}, 20)
+    assert beat.releases[0].old_in_flight == 0
+    decoded = decode_heartbeat(encode_heartbeat(beat))
+    assert decoded == beat
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -1,15 +1,13 @@
 """Steps on the pure decisions, on virtual time and fixed seeds."""
 
-import json
 import random
 
 from behave import given, then, when
 
-from berylbankd._internal.facts.deployment import Bounds, Deployment
+from berylbankd._internal.facts.deployment import Bounds
 from berylbankd._internal.facts.rows import Row, RowKey, RowTable, TableRead
 from berylbankd._internal.facts.types import BackendServer, Organisation
 from berylbankd._internal.peers.messages import Heartbeat
-from berylbankd._internal.platform.documents import PlatformDocuments
 from berylbankd._internal.steering.membership import Membership, choose_readers
 from berylbankd._internal.steering.placement import (
     ServerGroup,
@@ -23,6 +21,7 @@
 from berylbankd._internal.steering.servers import ServerState
 from berylbankd._internal.steering.warming import ColdAllowance, find_owner
 from berylbankd._internal.steering.world import World
+from tests.support.steering import DOCUMENTS, entry_row, make_place
 
 SEED = 20261204
 TICK_MS = 250
@@ -42,14 +41,6 @@
     return BackendServer(id=server_id, failure_domain=domain, slots=slots, **{**values, **fields})
 
 
-def make_place(name="vm-0", domain="a"):
-    regions = {"a": "one", "b": "two"}
-    return Deployment(
-        name, f"10.0.0.{name[3:]}", domain, regions[domain], regions, "", "", "", 1, 2, (), "", 300,
-        1.0, 1000.0, Bounds(),
-    )  # fmt: skip
-
-
 def want(object_key, domain="", tried=(), wait=1.0):
     return Wanted(object_key, domain, frozenset(tried), wait)
 
@@ -358,20 +349,6 @@
 
 # Facts
 
-DOCUMENTS = PlatformDocuments()
-
-
-def entry_row(server_id, revision, **changes):
-    document = {
-        "address": "10.0.0.1:80",
-        "born": 1,
-        "info": {"service": "desk", "version": "v1", "zone": "a", "capacity": 4},
-        "status": {"state": "ready", "sequence": 1, "warmupLeftS": 0},
-        **changes,
-    }
-    value = json.dumps(document).encode()
-    return Row(RowKey(DOCUMENTS.servers_table, server_id), value, revision)
-
 
 @given('a world with a server in "a"')
 def step_world(context):
--- /dev/null
+++ b/tests/support/steering.py
@@ -0,0 +1,29 @@
+"""A VM's place and rows of the platform, for tests of the pure decisions."""
+
+import json
+
+from berylbankd._internal.facts.deployment import Bounds, Deployment
+from berylbankd._internal.facts.rows import Row, RowKey
+from berylbankd._internal.platform.documents import PlatformDocuments
+
+DOCUMENTS = PlatformDocuments()
+
+
+def entry_row(server_id, revision, **changes):
+    document = {
+        "address": "10.0.0.1:80",
+        "born": 1,
+        "info": {"service": "desk", "version": "v1", "zone": "a", "capacity": 4},
+        "status": {"state": "ready", "sequence": 1, "warmupLeftS": 0},
+        **changes,
+    }
+    value = json.dumps(document).encode()
+    return Row(RowKey(DOCUMENTS.servers_table, server_id), value, revision)
+
+
+def make_place(name="vm-0", domain="a"):
+    regions = {"a": "one", "b": "two"}
+    return Deployment(
+        name, f"10.0.0.{name[3:]}", domain, regions[domain], regions, "", "", "", 1, 2, (), "", 300,
+        1.0, 1000.0, Bounds(),
+    )  # fmt: skip
--- a/tests/unit/steering/releases.feature
+++ b/tests/unit/steering/releases.feature
@@ -31,3 +31,8 @@
     Given 9 VMs, 300 requests a second and a release within 12 s
     When the driver is killed at each step
     Then it has succeeded within 12 s
+
+  Scenario: a request that was under way when the order came is not counted by the release
+    Given a VM with a request under way
+    When a release is ordered and the request ends
+    Then the VM reports no requests on the old version
