--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -36,7 +36,7 @@
 IDLE_MARGIN_MS = 1_000
 # An idempotent request leaves a server that takes this many times the usual and the objective.
 HANG_RATIO = 6.0
-HANG_OBJECTIVES = 2.0
+HANG_OBJECTIVES = 3.0
 # Another attempt is made only while this part of the objective is left.
 LEAST_LEFT_PART = 0.1
 SERVER_ERROR = 500
@@ -230,6 +230,8 @@
             self._note_broken(ask, pick, failure.reason, started)
             return Outcome(failure=Failure.BROKEN)
         except TimeoutError:
+            # Other connections to that server may have gone silent with this one.
+            await self.pool.drop(pick.server.entry.address)
             self._note_broken(ask, pick, "no answer in time", started)
             return Outcome(failure=Failure.HUNG)
         return self._judge(ask, pick, told, answer, started)
@@ -255,9 +257,14 @@
         left = facts.deadline_ms / 1000
         if not ask.route.kind.idempotent or ask.route.max_attempts <= len(ask.tried) + 1:
             return left
+        if not self.steering.budget(ask.service).has_credit():
+            return left
         usual = HANG_RATIO * self.steering.expected_ms(ask.service)
         hang_ms = max(usual, HANG_OBJECTIVES * ask.route.objective_ms)
-        return min(left, hang_ms / 1000)
+        # Where the rest would not do for another try, the first one has all of the time.
+        if facts.deadline_ms - hang_ms < ask.route.objective_ms:
+            return left
+        return hang_ms / 1000
 
     async def _send(
         self, exchange: CallerExchange, facts: DispatchFacts, connection: BackendConnection
--- a/packages/berylbankd/src/berylbankd/_internal/steering/retries.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/retries.py
@@ -22,9 +22,13 @@
         most = max(LEAST_CREDIT, self.slack / max(1, vms))
         self.credit = min(most, self.credit + self.ratio)
 
+    def has_credit(self) -> bool:
+        """Tell whether a retry could be spent now."""
+        return self.credit >= 1
+
     def take(self) -> bool:
         """Spend credit for one retry."""
-        if self.credit < 1:
+        if not self.has_credit():
             return False
         self.credit -= 1
         return True
--- a/tests/functional/steering.feature
+++ b/tests/functional/steering.feature
@@ -30,6 +30,7 @@
       | answers for another      |
       | fails every request      |
       | is not there any more    |
+      | hangs                    |
 
   Scenario: a booking that may have run is not sent again
     Given the first server of object 7 breaks its answers off
