--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,9 @@
 	@$(BIN)/python -m pip install -q --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
 	@touch $@
 
-demo: $(STAMP) ## start three VMs on this machine and show the whole path
+demo: $(STAMP) ## both ways on this machine: the own interface, and the platform's protocol
 	@$(BIN)/python tools/demo.py
+	@$(BIN)/python tools/steering_demo.py
 
 test: $(STAMP) lint ## formatter, linters, type checker and every behave scenario
 	@$(BIN)/python tools/run_tests.py
--- a/packages/berylbank-standins/src/berylbank_standins/_internal/row_store.py
+++ b/packages/berylbank-standins/src/berylbank_standins/_internal/row_store.py
@@ -88,6 +88,12 @@
         self.faults = RowStoreFaults()
         self.changed = anyio.Event()
         self.calls: dict[str, int] = {}
+        self.closed = False
+
+    def close(self) -> None:
+        """Answer the feeds that wait, so that the server can end."""
+        self.closed = True
+        self.changed.set()
 
     def put(self, table: str, key: str, document: Any) -> int:
         """Write a row as the operator or a backend server does; None drops it."""
@@ -131,7 +137,7 @@
     async def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after, wait_s = int(query["after"]), int(query["waitMs"]) / 1000
         with anyio.move_on_after(wait_s):
-            while not self.state.changes_after(query["table"], after):
+            while not self.closed and not self.state.changes_after(query["table"], after):
                 if self.state.changes_after(query["table"], after) is None:
                     break
                 await self.changed.wait()
--- a/tools/steering_fleet.py
+++ b/tools/steering_fleet.py
@@ -126,7 +126,7 @@
         }
         self.store.put("servers", server_id, self.entries[server_id])
 
-    def set_state(self, server_id: str, state: str) -> None:
+    async def set_state(self, server_id: str, state: str) -> None:
         """Let a server report another state."""
         entry = self.entries[server_id]
         status = {**entry["status"], "state": state, "sequence": entry["status"]["sequence"] + 1}
@@ -198,6 +198,7 @@
             if vm.process is not None and vm.process.returncode is None:
                 os.kill(vm.process.pid, signal.SIGKILL)
                 await vm.process.wait()
+        self.store.close()
         self.stop.set()
 
 
