--- a/packages/berylbankd/src/berylbankd/_internal/feeds/reader.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/reader.py
@@ -30,7 +30,7 @@
 # How often a VM looks whether it has to read the store itself.
 RANK_EVERY_S = 0.25
 # A VM waits this long after its start to hear of others before it reads the store itself.
-FIRST_WAIT_S = 0.5
+FIRST_WAIT_S = 0.3
 # Reads may be stale for some seconds after the store dropped its history.
 REREAD_AFTER_S = (1.5, 3.5)
 # A reader gives its own feed this long before it asks another VM for what that one knows.
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -12,7 +12,6 @@
 from berylbankd._internal.ingress.exchange import CallerExchange, CallerGoneError
 from berylbankd._internal.ingress.journal import RequestJournal, RequestRecord
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
-from berylbankd._internal.serving import serve_lifespan
 from berylbankd._internal.steering.steering import Ask, Steering
 
 # Time that the final answer needs to reach the caller before it stops waiting.
@@ -45,9 +44,6 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one connection event."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
-            return
         if scope["type"] != "http":
             return
         self.running += 1
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/pages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/pages.py
@@ -5,7 +5,6 @@
 from urllib.parse import parse_qs
 
 from berylbankd._internal.ingress.codec import HeaderList
-from berylbankd._internal.serving import serve_lifespan
 
 
 class Page(NamedTuple):
@@ -49,9 +48,6 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one connection event."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
-            return
         if scope["type"] != "http":
             return
         handler = self.handlers.get(scope["path"])
