Give each process of tests ports that no other one has

Cause: blocks of ports were chosen by the process id modulo 40. Now a block is held by a file lock. tests/unit/harness.feature failed before and passes now. Ruled out: the daemon and its start-up time (no source of it changed).

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,6 +1,7 @@
 """Starts and ends the processes of a small fleet on loopback, for the demo, tests and benches."""
 
 import contextlib
+import fcntl
 import json
 import os
 import secrets
@@ -12,7 +13,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TextIO
 
 import httpx
 import tomli_w
@@ -22,12 +23,27 @@
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
 FIRST_PORT = 10_000
-LAST_PORT = 32_000
 PORT_BLOCKS = 40
 PORTS_PER_BLOCK = 500
 
 
-_ports = iter(range(FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK, LAST_PORT))
+def reserve_ports() -> Iterator[int]:
+    """Yield the ports of blocks that no other process of tests has; held until this one ends."""
+    for block in range(PORT_BLOCKS):
+        lock = (Path(tempfile.gettempdir()) / f"berylbank-ports-{block}.lock").open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _held.append(lock)
+        yield from range(
+            FIRST_PORT + block * PORTS_PER_BLOCK, FIRST_PORT + (block + 1) * PORTS_PER_BLOCK
+        )
+
+
+_held: list[TextIO] = []
+_ports = reserve_ports()
 
 
 class VmPlace(NamedTuple):
@@ -61,7 +77,7 @@
 def free_port() -> int:
     """Return a port that is free now, outside the range of outgoing connections.
 
-    Each process of tests begins elsewhere, and no port is given twice.
+    No other process of tests is given the same port, and none is given twice.
     """
     for port in _ports:
         with socket.socket() as probe:
