Never say that a request has not run after an earlier server may have run it

Cause: each dispatch set anew whether the request may have run, so a read that one server broke off and the next one shed was refused with 503 and 'ran: no'. The new scenario failed before (503) and passes now (502). Bookings were not affected: they are not sent again once they may have run.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -120,8 +120,6 @@
     def _note_failure(self, pick: Pick, outcome: Outcome, state: RequestState) -> None:
         state.tried |= {pick.server.entry.id}
         state.last = outcome.failure
-        if outcome.failure in MAY_HAVE_RUN:
-            state.may_have_run = True
         if outcome.answer is not None:
             state.fallback = outcome.answer
 
@@ -182,12 +180,12 @@
                 keep = True
                 return Outcome(failure=Failure.NOT_SENT)
             state.servers.append(pick.server.entry.id)
-            # From here on a cancelled request may have run.
-            state.may_have_run = True
+            # From here on a cancelled request may have run; so may one that an earlier server had.
+            ran_before, state.may_have_run = state.may_have_run, True
             waited = self.clock.now_ms() - started
             facts = facts._replace(deadline_ms=facts.deadline_ms - waited)
             outcome = await self._exchange(exchange, ask, pick, facts, connection)
-            state.may_have_run = outcome.failure in MAY_HAVE_RUN
+            state.may_have_run = ran_before or outcome.failure in MAY_HAVE_RUN
             keep = outcome.failure in (None, Failure.NOT_RUN, Failure.SERVER_ERROR)
             handed_on = outcome.answer is not None and outcome.answer.rest is not None
             return outcome
--- a/tests/functional/steering.feature
+++ b/tests/functional/steering.feature
@@ -50,6 +50,12 @@
     Then it gets 503 without a signature
     And it is told when to come back
 
+  Scenario: a read that may have run is not said to be unrun when the next server sheds it
+    Given the first server of object 7 breaks its answers off
+    And every other server sheds
+    When a caller reads object 7
+    Then it gets 502 without a signature
+
   Scenario: a hung server costs a booking its timeout and no more
     Given the first server of object 7 hangs
     When a caller books object 7 with 800 ms to wait
--- a/tests/steps/steering_fleet_steps.py
+++ b/tests/steps/steering_fleet_steps.py
@@ -95,6 +95,13 @@
         server.behaviour = server.behaviour._replace(shed=True)
 
 
+@given("every other server sheds")
+def step_others_shed(context):
+    for server_id, server in context.steering.servers.items():
+        if server_id != context.first:
+            server.behaviour = server.behaviour._replace(shed=True)
+
+
 @when("a caller reads object {object_key}")
 def step_read(context, object_key):
     ask(context, "GET", "/reads/x", headers_of(context, object_key))
