--- a/packages/berylbankd/src/berylbankd/_internal/feeds/reader.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/reader.py
@@ -63,8 +63,6 @@
         self.is_reader = False
         self.following: dict[str, anyio.CancelScope] = {}
         self.behind = anyio.Event()
-        self.calls = 0
-        self.pulls = 0
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -150,7 +148,6 @@
 
     async def _follow(self, table: str) -> None:
         while True:
-            self.calls += 1
             answer = await self.store.follow(table, self.table.position(table), FEED_WAIT_MS)
             self._note_store(True, "")
             self.apply_rows(answer.rows, "feed")
@@ -160,7 +157,6 @@
                 await anyio.sleep(FEED_PAUSE_S)
 
     async def _read_whole(self, table: str) -> None:
-        self.calls += 1
         read = await self.store.read_table(table)
         self._note_store(True, "")
         now_ms = self.clock.now_ms()
@@ -198,7 +194,6 @@
         position = Position(table, self.table.position(table))
         live = self.members.live(self.clock.now_ms())
         for beat in rank_sources(live, table, revision, self.members)[:2]:
-            self.pulls += 1
             found = await fetch_rows(self.client, beat.host, self.peer_port, position)
             if found is None:
                 continue
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/release_driver.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/release_driver.py
@@ -14,8 +14,6 @@
 
 CHECK_EVERY_S = 0.2
 RETRY_S = 0.2
-# A VM that has just started waits to hear of orders before it looks for earlier verdicts.
-FIRST_CHECK_S = 1.0
 
 
 class ReleaseDriver:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -40,7 +40,6 @@
         self.journal = journal
         self.dispatcher = Dispatcher(steering, codec, clock)
         self.running = 0
-        self.last_arrival_ms = clock.now_ms()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one connection event."""
@@ -53,7 +52,7 @@
             self.running -= 1
 
     async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
-        now_ms = self.last_arrival_ms = self.clock.now_ms()
+        now_ms = self.clock.now_ms()
         exchange = CallerExchange(scope, receive, send, self.codec, now_ms)
         exchange.closing = self.steering.leaving
         state = RequestState()
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
@@ -44,7 +44,6 @@
         )
         self.route: Route | None = None
         self.organisation: Organisation | None = None
-        self.started = False
         self.closing = False
 
     async def read_body(self) -> None:
@@ -76,7 +75,6 @@
 
     async def start_answer(self, status: int, headers: HeaderList) -> None:
         """Begin the answer."""
-        self.started = True
         if self.closing:
             headers = [*headers, (b"connection", b"close")]
         await self.send({"type": "http.response.start", "status": status, "headers": headers})
--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -73,7 +73,6 @@
         self.succeeded = False
         self.credit = 0.0
         self.old_in_flight = 0
-        self.new_in_flight = 0
         self.records: dict[str, RouteRecord] = {}
 
     def elapsed_ms(self, now_ms: int) -> int:
@@ -103,15 +102,12 @@
         """Count a request that leaves; only then the new version's credit is spent."""
         if new:
             self.credit -= 1
-            self.new_in_flight += 1
         else:
             self.old_in_flight += 1
 
     def note_end(self, new: bool) -> None:
         """Count a request that has ended, however it did."""
-        if new:
-            self.new_in_flight -= 1
-        else:
+        if not new:
             self.old_in_flight -= 1
 
     def note_answer(self, route: str, new: bool, bad: bool) -> None:
