--- a/packages/berylbankd/src/berylbankd/_internal/steering/regions.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/regions.py
@@ -6,7 +6,8 @@
 A request for an object goes to the object's region, the same from everywhere, by hash and by slots:
 each object is then known to one or two servers of the fleet in place of some in each region, and
 every region is used alike. Where regions are too far apart for the objective, and for answers with
-large bodies, requests stay near their callers: what a region cannot carry moves to where there is room, by a plan that all VMs compute from the same reported demand.
+large bodies, requests stay near their callers: what a region cannot carry moves to where there is
+room, by a plan that all VMs compute from the same reported demand.
 Both change slowly, so that no region is flooded by a sudden shift.
 """
 
