--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -41,8 +41,10 @@
 # Part of the requests that may leave the planned region because it has no room.
 OVERFLOW_RATE = 0.03
 OVERFLOW_MOST = 3.0
+# How often demand, splits between regions and lapsed servers are brought up to date.
+SLOW_TICK_MS = 500
 # Weight of the newest sample in running means of demand and of service time.
-DEMAND_WEIGHT = 0.2
+DEMAND_WEIGHT = 0.36
 SERVICE_TIME_WEIGHT = 0.02
 # Service time assumed before the first answer.
 FIRST_SERVICE_MS = 200.0
@@ -105,6 +107,8 @@
         self.told: dict[str, float] = {}
         self.groups: dict[tuple[str, str | None], dict[str, ServerGroup]] = {}
         self.generation = -1
+        self.loaded: set[str] = set()
+        self.since_slow_ms = SLOW_TICK_MS
         self.sequence = 0
         self.leaving = False
 
@@ -268,9 +272,10 @@
             tuple(Position(table, revision) for table, revision in positions.items()),
             _worth_telling(Figure(name, amount) for name, amount in self.demands.items()),
             _worth_telling(organisations),
-            _worth_telling(
+            tuple(
                 Figure(server_id, state.in_flight)
                 for server_id, state in self.world.servers.items()
+                if state.in_flight
             ),
             tuple(release.report(now_ms) for release in self.releases.values()),
             self.members.some_hosts(),
@@ -283,11 +288,18 @@
         if near_vms != self.near_vms:
             self.near_vms = near_vms
             self.owners.clear()
+        self._note_peers(now_ms)
+        self.sync_releases(now_ms)
+        self.since_slow_ms += elapsed_ms
+        if self.since_slow_ms >= SLOW_TICK_MS:
+            self._tick_slowly(self.since_slow_ms, now_ms)
+            self.since_slow_ms = 0
+
+    def _tick_slowly(self, elapsed_ms: int, now_ms: int) -> None:
+        """Bring up to date what changes over seconds and walks over all backend servers."""
         self.world.expire_lapsed(now_ms)
         self._note_demands(elapsed_ms)
-        self._note_peers(now_ms)
         self._update_splits(now_ms)
-        self.sync_releases(now_ms)
 
     # Releases
 
@@ -466,8 +478,11 @@
         for beat in self.vms:
             for figure in beat.loads:
                 by_server[figure.name] += figure.amount
-        for server_id, state in self.world.servers.items():
-            state.peers_in_flight = round(by_server.get(server_id, 0))
+        for server_id in self.loaded | by_server.keys():
+            state = self.world.servers.get(server_id)
+            if state is not None:
+                state.peers_in_flight = round(by_server.get(server_id, 0))
+        self.loaded = set(by_server)
         self._note_rates(now_ms)
 
     def _note_rates(self, now_ms: int) -> None:
