Tell refused callers when room is expected, and read the store later at the first start

Load pattern: a burst fills the servers of some objects for about one service time; a fixed Retry-After of 1 s brings callers back late and in one wave. Now 0.5 to 1.5 service times, spread evenly (returning.feature). After a restart the wait stays below 0.6 s.

--- a/packages/berylbankd/src/berylbankd/_internal/facts/deployment.py
+++ b/packages/berylbankd/src/berylbankd/_internal/facts/deployment.py
@@ -30,6 +30,7 @@
 
     ``regions`` maps every failure domain to its region. ``peer_port`` serves other VMs, over UDP
     for heartbeats and TCP for rows. ``seed_hosts`` are IP numbers of VMs that may be running.
+    ``first_start`` tells that the whole fleet starts for the first time.
     """
 
     vm: str
@@ -48,3 +49,4 @@
     cores: float
     link_mbps: float
     bounds: Bounds
+    first_start: bool = False
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/reader.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/reader.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from berylbank._internal.utils.clock import Clock
+from berylbankd._internal.facts.deployment import Deployment
 from berylbankd._internal.facts.rows import HistoryLostError, Row, RowStore, RowTable, StoreError
 from berylbankd._internal.peers.gossip import fetch_rows
 from berylbankd._internal.peers.messages import Heartbeat, Position, TableRows
@@ -35,18 +36,21 @@
 # How often a VM looks whether it has to read the store itself.
 RANK_EVERY_S = 0.25
 # A VM waits this long after its start to hear of others before it reads the store itself, and up to
-# the spread longer the further back it ranks: when all start together, few find no reader.
+# the spread longer the further back it ranks: when all start together, few find no reader. Before
+# callers come at all there is more time for that than after a restart.
 FIRST_WAIT_S = 0.3
-FIRST_WAIT_SPREAD_S = 1.2
+FIRST_START_SPREAD_S = 1.2
+RESTART_SPREAD_S = 0.3
 # Reads may be stale for some seconds after the store dropped its history.
 REREAD_AFTER_S = (1.5, 3.5)
 # A reader gives its own feed this long before it asks another VM for what that one knows.
 READER_PATIENCE_S = 0.4
 
 
-def first_wait_s(vm: str) -> float:
+def first_wait_s(place: Deployment) -> float:
     """Return how long a VM that has just started waits for others to read the store."""
-    return FIRST_WAIT_S + FIRST_WAIT_SPREAD_S * reader_rank(vm)
+    spread_s = FIRST_START_SPREAD_S if place.first_start else RESTART_SPREAD_S
+    return FIRST_WAIT_S + spread_s * reader_rank(place.vm)
 
 
 class FactReader:
@@ -83,7 +87,7 @@
             for table in (documents.orders_table, documents.servers_table):
                 group.start_soon(self._follow_when_reader, table)
             group.start_soon(self._pull_when_behind)
-            await anyio.sleep(first_wait_s(self.members.vm))
+            await anyio.sleep(first_wait_s(self.members.place))
             while True:
                 self._update_rank()
                 await anyio.sleep(RANK_EVERY_S)
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -111,7 +111,7 @@
             if outcome.answer is not None and outcome.failure is None:
                 return outcome.answer
             self._note_failure(pick, outcome, state)
-        return self._give_up(state)
+        return self._give_up(ask.service, state)
 
     def _organisation(self, exchange: CallerExchange, ask: Ask) -> str | None:
         found = self.steering.world.organisations.get(exchange.request.key)
@@ -135,13 +135,13 @@
             return False
         return state.last is Failure.NOT_SENT or self.steering.budget(ask.service).take()
 
-    def _give_up(self, state: RequestState) -> WholeAnswer | Refusal:
+    def _give_up(self, service: str, state: RequestState) -> WholeAnswer | Refusal:
         if state.fallback is not None:
             return state.fallback
         if state.may_have_run:
             return Refusal(RefusalKind.BACKEND_FAILED, Ran.UNKNOWN)
         kind = RefusalKind.NO_BACKEND if state.last is Failure.NOT_SENT else RefusalKind.NO_SLOT
-        return Refusal(kind)
+        return Refusal(kind, retry_after_s=self.steering.room_in_s(service))
 
     async def _dispatch(
         self,
--- a/packages/berylbankd/src/berylbankd/_internal/platform/settings.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/settings.py
@@ -59,6 +59,7 @@
         cores=float(limits.get("cpuShare", 1)) * float(limits.get("cpus", 1)),
         link_mbps=float(limits.get("bandwidthMbps", 1000)),
         bounds=decode_bounds(raw.get("bounds", [])),
+        first_start=raw.get("bootstrap") is True,
     )
 
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -32,6 +32,7 @@
 )
 from berylbankd._internal.steering.releases import LatencyBook, Release
 from berylbankd._internal.steering.retries import RetryBudget
+from berylbankd._internal.steering.returning import ReturnTimes
 from berylbankd._internal.steering.servers import ServerState
 from berylbankd._internal.steering.warming import ColdAllowance, find_owner
 from berylbankd._internal.steering.world import Documents, World
@@ -93,6 +94,7 @@
         self.splits: dict[str, RegionSplit] = {}
         self.round_trips = RoundTrips()
         self.domains = DomainWatch()
+        self.returns = ReturnTimes()
         self.allowances: dict[str, ColdAllowance] = {}
         self.releases: dict[str, Release] = {}
         self.latencies = LatencyBook()
@@ -211,6 +213,10 @@
         """Return how long a request of a service takes without waiting."""
         return self.service_ms.get(service, FIRST_SERVICE_MS)
 
+    def room_in_s(self, service: str) -> float:
+        """Return when a caller that found no room should come back."""
+        return self.returns.next_ms(self.expected_ms(service)) / 1000
+
     # Rates
 
     def token_owners(self, organisation: str) -> list[str]:
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -32,6 +32,7 @@
 )
 from berylbankd._internal.steering.quotas import QuotaBook, rank_owners
 from berylbankd._internal.steering.regions import RegionLoad, RegionSplit, plan_fractions
+from berylbankd._internal.steering.returning import ReturnTimes
 from berylbankd._internal.steering.servers import ServerState
 from berylbankd._internal.steering.steering import Ask, Pick, Steering
 from berylbankd._internal.steering.warming import ColdAllowance, find_owner
@@ -564,6 +565,19 @@
     assert context.granted == [1] * count, context.granted.count(None)
 
 
+@given("{count:d} callers that are refused at one moment, at {ms:d} ms a request")
+def step_refused_callers(context, count, ms):
+    times = ReturnTimes()
+    context.returns = [times.next_ms(ms) for _ in range(count)]
+
+
+@then("they come back within {ms:d} ms, at most {most:d} in any {window:d} ms")
+def step_return_spread(context, ms, most, window):
+    assert max(context.returns) <= ms, max(context.returns)
+    for start in context.returns:
+        assert sum(1 for at in context.returns if start <= at < start + window) <= most
+
+
 # Warming
 
 
