Check the key again before each send: it may go while a request waits for a token

Cause: admission asks for a token, and the organisation was looked up again at the send, when its key had been withdrawn. Ruled out: a wrong organisation of a known key (the header was missing). Now the organisation admitted is the one that is named, and a key that has gone by then gets 401.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -98,14 +98,16 @@
         self, exchange: CallerExchange, ask: Ask, deadline_ms: int, state: RequestState
     ) -> WholeAnswer | Refusal:
         """Get an answer, or a refusal that is true."""
-        organisation = self._organisation(exchange, ask)
         for attempt in range(max(1, ask.route.max_attempts)):
             if attempt and not self._may_try_again(exchange, ask, deadline_ms, state):
                 break
+            if not self._key_holds(exchange):
+                return self._refuse_withdrawn(state)
             ask = ask._replace(tried=state.tried, left_ms=deadline_ms - self.clock.now_ms())
             pick = self.steering.pick(ask, self.clock.now_ms())
             if pick is None:
                 break
+            organisation = exchange.organisation.name if exchange.organisation else None
             facts = DispatchFacts(pick.server.entry.id, ask.left_ms, organisation)
             outcome = await self._dispatch(exchange, ask, pick, facts, state)
             if outcome.answer is not None and outcome.failure is None:
@@ -113,9 +115,18 @@
             self._note_failure(pick, outcome, state)
         return self._give_up(ask.service, state)
 
-    def _organisation(self, exchange: CallerExchange, ask: Ask) -> str | None:
-        found = self.steering.world.organisations.get(exchange.request.key)
-        return found.name if found is not None and not ask.route.public else None
+    def _key_holds(self, exchange: CallerExchange) -> bool:
+        """Tell whether the key still is the organisation's: admission and other tries take time."""
+        admitted = exchange.organisation
+        if admitted is None:
+            return True
+        holder = self.steering.world.organisations.get(exchange.request.key)
+        return holder is not None and holder.name == admitted.name
+
+    def _refuse_withdrawn(self, state: RequestState) -> WholeAnswer | Refusal:
+        if state.may_have_run:
+            return state.fallback or Refusal(RefusalKind.BACKEND_FAILED, Ran.UNKNOWN)
+        return Refusal(RefusalKind.KEY_WITHDRAWN)
 
     def _note_failure(self, pick: Pick, outcome: Outcome, state: RequestState) -> None:
         state.tried |= {pick.server.entry.id}
@@ -179,7 +190,7 @@
             self.steering.note_connected(pick)
         keep = handed_on = False
         try:
-            if not self._still_usable(pick):
+            if not self._still_usable(pick) or not self._key_holds(exchange):
                 keep = True
                 return Outcome(failure=Failure.NOT_SENT)
             state.servers.append(f"{pick.server.entry.id} rank {pick.rank} load {pick.load}")
--- /dev/null
+++ b/tests/steps/ingress_steps.py
@@ -0,0 +1,86 @@
+"""Steps on the callers' application, with a rate gate that lets things happen while it is asked."""
+
+import anyio
+from behave import given, then, when
+
+from berylbank._internal.utils.clock import BootClock
+from berylbankd._internal.facts.types import CallerLimits, Configuration, Organisation, Service
+from berylbankd._internal.ingress.app import CallerApp
+from berylbankd._internal.platform.headers import PlatformHeaders
+from berylbankd._internal.steering.steering import Steering
+from tests.steps.steering_steps import ROUTE
+from tests.support.steering import DOCUMENTS, entry_row, make_place
+
+KEY = "key-of-alder"
+HOLDERS = {"is withdrawn": None, "goes to another organisation": "birch"}
+
+
+class Journal:
+    """Forgets every record."""
+
+    def record(self, record):
+        pass
+
+
+class ChangingGate:
+    """Admits a request after the keys have changed."""
+
+    def __init__(self, steering, holder):
+        self.steering = steering
+        self.holder = holder
+
+    async def admit(self, organisation):
+        install_keys(self.steering, self.holder)
+        return True
+
+
+def install_keys(steering, holder):
+    """Put a configuration in force in which an organisation holds the key, or none."""
+    organisations = tuple(
+        Organisation(name, (KEY,) if name == holder else (), 0, 100.0, 100.0, frozenset())
+        for name in ("alder", "birch")
+    )
+    world = steering.world
+    service = Service("desk", "", 100, 0, 0.0)
+    world.configuration = Configuration(
+        1, (ROUTE,), {"desk": service}, organisations, True, CallerLimits()
+    )
+    world.routes = {ROUTE.host: [ROUTE]}
+    world.organisations = {key: item for item in organisations for key in item.keys}
+
+
+@given("a VM whose organisation alder holds the key of a request")
+def step_vm(context):
+    context.steering = Steering(make_place("vm-0", "a"), DOCUMENTS, 1, 0)
+    context.steering.world.apply(entry_row("s0", 1, address="127.0.0.1:1"), 0)
+    install_keys(context.steering, "alder")
+    context.steering.tick(250, 250)
+
+
+@when("the key {change} while the request waits for a token")
+def step_change(context, change):
+    steering, context.sent = context.steering, []
+    gate = ChangingGate(steering, HOLDERS[change])
+    app = CallerApp(steering, PlatformHeaders(), BootClock(), Journal(), gate)
+    context.picked = []
+    pick = steering.pick
+    steering.pick = lambda ask, now_ms: context.picked.append(ask) or pick(ask, now_ms)
+    headers = [(b"host", b"a.example"), (b"x-key", KEY.encode()), (b"x-request-id", b"r1")]
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "raw_path": b"/x",
+        "query_string": b"",
+        "headers": [*headers, (b"x-deadline-ms", b"500")],
+    }
+
+    async def send(event):
+        context.sent.append(event)
+
+    anyio.run(app, scope, anyio.sleep_forever, send)
+
+
+@then("the caller gets 401 and no server was asked for")
+def step_refused(context):
+    assert context.sent[0]["status"] == 401, context.sent[0]
+    assert context.picked == []
