Don't refuse requests of an organisation that the keeper of its tokens does not know yet

Cause, found by reading: a VM that keeps tokens and is a moment behind with the configuration answered 0 for a new organisation, which the asking VM took for 'over its rate'. It now says that it does not know it, and the next in rank is asked.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/rate_gate.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/rate_gate.py
@@ -6,7 +6,7 @@
 
 from berylbank._internal.utils.clock import Clock
 from berylbankd._internal.facts.types import Organisation
-from berylbankd._internal.peers.messages import TokenAsk
+from berylbankd._internal.peers.messages import TokenAsk, TokenGrant
 from berylbankd._internal.steering.steering import Steering
 
 # Answers come within a few milliseconds in a region; a lost datagram is repeated once.
@@ -18,8 +18,8 @@
 class TokenChannel(Protocol):
     """Asks other VMs."""
 
-    async def ask_tokens(self, host: str, ask: TokenAsk, timeout_s: float) -> int | None:
-        """Return how many tokens a VM grants, None where it does not answer."""
+    async def ask_tokens(self, host: str, ask: TokenAsk, timeout_s: float) -> TokenGrant | None:
+        """Return a VM's answer, None where there is none in time."""
 
 
 class RateGate:
@@ -39,23 +39,26 @@
         for owner in self.steering.token_owners(organisation.name):
             if self.clock.now_ms() < self.silent_until_ms.get(owner, 0):
                 continue
-            granted = await self._ask(owner, organisation)
-            if granted is not None:
-                return book.put(organisation, granted, self.clock.now_ms())
-            self.silent_until_ms[owner] = self.clock.now_ms() + SILENT_MS
-            logger.info("no tokens of {} from {}: no answer", organisation.name, owner)
+            grant = await self._ask(owner, organisation)
+            if grant is not None and grant.known:
+                return book.put(organisation, grant.tokens, self.clock.now_ms())
+            reason = "not known there yet"
+            if grant is None:
+                self.silent_until_ms[owner] = self.clock.now_ms() + SILENT_MS
+                reason = "no answer"
+            logger.info("no tokens of {} from {}: {}", organisation.name, owner, reason)
         return book.take_spare(organisation, self.clock.now_ms())
 
-    async def _ask(self, owner: str, organisation: Organisation) -> int | None:
-        book, now_ms = self.steering.quotas, self.clock.now_ms()
-        ask = book.make_ask(organisation, now_ms)
+    async def _ask(self, owner: str, organisation: Organisation) -> TokenGrant | None:
+        now_ms = self.clock.now_ms()
+        ask = self.steering.quotas.make_ask(organisation, now_ms)
         if owner == self.steering.deployment.vm:
-            return book.grant(organisation, ask, now_ms)
+            return self.steering.grant_tokens(ask, now_ms)
         host = self.steering.host_of(owner)
         if host is None:
             return None
         for timeout_s in ASK_TIMEOUTS_S:
-            granted = await self.channel.ask_tokens(host, ask, timeout_s)
-            if granted is not None:
-                return granted
+            grant = await self.channel.ask_tokens(host, ask, timeout_s)
+            if grant is not None:
+                return grant
         return None
--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -126,7 +126,8 @@
 
 
 def _unpack_grant(datagram: Any) -> TokenGrant:
-    return TokenGrant(datagram.tokenGrant.number, datagram.tokenGrant.tokens)
+    grant = datagram.tokenGrant
+    return TokenGrant(grant.number, grant.tokens, grant.known)
 
 
 _UNPACKERS: dict[str, Callable[[Any], Datagram]] = {
--- a/packages/berylbankd/src/berylbankd/_internal/peers/gossip.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/gossip.py
@@ -37,7 +37,7 @@
     def take_heartbeat(self, beat: Heartbeat) -> None:
         """Take a heartbeat."""
 
-    def grant_tokens(self, ask: TokenAsk) -> int:
+    def grant_tokens(self, ask: TokenAsk) -> TokenGrant:
         """Return how many tokens the VM that asks gets."""
 
 
@@ -46,7 +46,7 @@
 
     def __init__(self) -> None:
         self.answered = anyio.Event()
-        self.tokens = 0
+        self.grant: TokenGrant | None = None
 
 
 class Outgoing(NamedTuple):
@@ -89,16 +89,15 @@
         for host in hosts:
             self._send(data, host)
 
-    async def ask_tokens(self, host: str, ask: TokenAsk, timeout_s: float) -> int | None:
-        """Ask a VM for tokens; return how many it grants, None where it does not answer."""
+    async def ask_tokens(self, host: str, ask: TokenAsk, timeout_s: float) -> TokenGrant | None:
+        """Ask a VM for tokens; return its answer, None where there is none in time."""
         number = next(self.numbers)
         pending = self.pending[number] = PendingGrant()
         try:
             self._send(encode_datagram(ask._replace(number=number)), host)
             with anyio.move_on_after(timeout_s):
                 await pending.answered.wait()
-                return pending.tokens
-            return None
+            return pending.grant
         finally:
             del self.pending[number]
 
@@ -116,12 +115,11 @@
         if isinstance(item, Heartbeat):
             self.listener.take_heartbeat(item)
         elif isinstance(item, TokenAsk):
-            grant = TokenGrant(item.number, self.listener.grant_tokens(item))
-            self._send(encode_datagram(grant), host)
+            self._send(encode_datagram(self.listener.grant_tokens(item)), host)
         else:
             pending = self.pending.get(item.number)
             if pending is not None:
-                pending.tokens = item.tokens
+                pending.grant = item
                 pending.answered.set()
 
     def _send(self, data: bytes, host: str) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/peers/heartbeat.capnp
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/heartbeat.capnp
@@ -20,6 +20,7 @@
 struct TokenGrant {
   number @0 :UInt32;
   tokens @1 :UInt16;
+  known @2 :Bool;
 }
 
 struct Heartbeat {
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -90,10 +90,14 @@
 
 
 class TokenGrant(NamedTuple):
-    """The answer to a token ask; 0 ``tokens`` where the organisation is over its rate."""
+    """The answer to a token ask; 0 ``tokens`` where the organisation is over its rate.
+
+    ``known`` is false where the VM that was asked does not know the organisation yet.
+    """
 
     number: int
     tokens: int
+    known: bool = True
 
 
 Datagram = Heartbeat | TokenAsk | TokenGrant
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -18,6 +18,7 @@
     Position,
     ReleaseReport,
     TokenAsk,
+    TokenGrant,
 )
 from berylbankd._internal.steering.membership import Membership
 from berylbankd._internal.steering.placement import ServerGroup, Wanted, hash_unit
@@ -227,11 +228,13 @@
             found = self.owners[organisation] = rank_owners(organisation, vms)
         return found
 
-    def grant_tokens(self, ask: TokenAsk, now_ms: int) -> int:
-        """Return how many tokens a VM that asks gets; none of an organisation that is not known."""
+    def grant_tokens(self, ask: TokenAsk, now_ms: int) -> TokenGrant:
+        """Return how many tokens a VM that asks gets."""
         configuration = self.world.configuration
         organisation = configuration.organisation(ask.organisation) if configuration else None
-        return self.quotas.grant(organisation, ask, now_ms) if organisation is not None else 0
+        if organisation is None:
+            return TokenGrant(ask.number, 0, known=False)
+        return TokenGrant(ask.number, self.quotas.grant(organisation, ask, now_ms))
 
     def host_of(self, vm: str) -> str | None:
         """Return where a VM takes datagrams."""
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -26,7 +26,7 @@
 from berylbankd._internal.metrics import Metrics
 from berylbankd._internal.peers.codec import encode_rows
 from berylbankd._internal.peers.gossip import ROWS_PATH, Gossip, make_incarnation
-from berylbankd._internal.peers.messages import Heartbeat, TokenAsk
+from berylbankd._internal.peers.messages import Heartbeat, TokenAsk, TokenGrant
 from berylbankd._internal.platform.documents import PlatformDocuments
 from berylbankd._internal.platform.headers import PlatformHeaders
 from berylbankd._internal.platform.lookups import PlatformLookups
@@ -180,7 +180,7 @@
 
     # Other VMs
 
-    def grant_tokens(self, ask: TokenAsk) -> int:
+    def grant_tokens(self, ask: TokenAsk) -> TokenGrant:
         """Answer a VM that asks for an organisation's tokens."""
         return self.steering.grant_tokens(ask, self.clock.now_ms())
 
--- a/tests/steps/ingress_steps.py
+++ b/tests/steps/ingress_steps.py
@@ -6,6 +6,8 @@
 from berylbank._internal.utils.clock import BootClock
 from berylbankd._internal.facts.types import CallerLimits, Configuration, Organisation, Service
 from berylbankd._internal.ingress.app import CallerApp
+from berylbankd._internal.ingress.rate_gate import RateGate
+from berylbankd._internal.peers.messages import TokenGrant
 from berylbankd._internal.platform.headers import PlatformHeaders
 from berylbankd._internal.steering.steering import Steering
 from tests.steps.steering_steps import ROUTE
@@ -49,6 +51,45 @@
     world.organisations = {key: item for item in organisations for key in item.keys}
 
 
+class ScriptedChannel:
+    """Answers token asks as told, by host."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+
+    async def ask_tokens(self, host, ask, timeout_s):
+        self.asked.append(host)
+        return self.answers[host]
+
+
+@given("a VM that asks two owners for tokens")
+def step_owners(context):
+    context.steering = Steering(make_place("vm-0", "a"), DOCUMENTS, 1, 0)
+    context.steering.token_owners = lambda name: ["vm-1", "vm-2"]
+    context.steering.host_of = {"vm-1": "first", "vm-2": "second"}.get
+
+
+@when("the first owner {behaviour} and the second one grants a token")
+def step_first_owner(context, behaviour):
+    unknown = TokenGrant(0, 0, known=False)
+    answers = {"does not know the organisation": unknown, "does not answer": None}
+    channel = ScriptedChannel({"first": answers[behaviour], "second": TokenGrant(0, 1)})
+    gate = RateGate(context.steering, channel, BootClock())
+    organisation = Organisation("alder", (), 0, 100.0, 100.0, frozenset())
+    context.admitted = [anyio.run(gate.admit, organisation)]
+    context.asked_first, channel.asked = channel.asked, []
+    context.admitted.append(anyio.run(gate.admit, organisation))
+    context.asked_next = channel.asked
+
+
+@then("the request is admitted, and the first owner is {word} for the next one")
+def step_admitted_both(context, word):
+    assert context.admitted == [True, True]
+    assert "first" in context.asked_first
+    assert ("first" in context.asked_next) == (word == "asked again"), context.asked_next
+
+
 @given("a VM whose organisation alder holds the key of a request")
 def step_vm(context):
     context.steering = Steering(make_place("vm-0", "a"), DOCUMENTS, 1, 0)
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -517,6 +517,7 @@
     "heartbeat": Heartbeat("vm-1", 7, 8, "10.0.0.1", "10.0.0.1:80", "one", "a", True, False, True),
     "token ask": TokenAsk("alder", 3, 5, 17),
     "token grant": TokenGrant(17, 3),
+    "grant that is not known": TokenGrant(17, 0, known=False),
 }
 
 
@@ -532,7 +533,7 @@
         pass
 
     def grant_tokens(self, ask):
-        return 1
+        return TokenGrant(ask.number, 1)
 
 
 @when("a VM sends another {count:d} token asks and heartbeats at once")
@@ -562,7 +563,8 @@
 
 @then("all {count:d} are answered")
 def step_all_answered(context, count):
-    assert context.granted == [1] * count, context.granted.count(None)
+    assert None not in context.granted, context.granted.count(None)
+    assert [grant.tokens for grant in context.granted] == [1] * count
 
 
 @given("{count:d} callers that are refused at one moment, at {ms:d} ms a request")
--- a/tests/unit/steering/membership.feature
+++ b/tests/unit/steering/membership.feature
@@ -30,6 +30,7 @@
       | heartbeat   |
       | token ask   |
       | token grant |
+      | grant that is not known |
 
   Scenario: asks that are sent at the same moment are all answered
     When a VM sends another 40 token asks and heartbeats at once
