--- /dev/null
+++ b/packages/berylbankd/src/berylbankd/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemon's subcommands do, free of argument parsing."""
--- a/packages/berylbankd/src/berylbankd/_internal/main.py
+++ b/packages/berylbankd/src/berylbankd/_internal/main.py
@@ -9,12 +9,9 @@
 
 from berylbank._internal.exceptions import BerylbankError
 from berylbank._internal.settings import Settings, load_settings, read_secret
-from berylbank._internal.utils.imports import without_modules
+from berylbankd._internal.commands.steer import EXIT_BAD_SETTINGS, run_steering
 
 app = cyclopts.App(name="berylbankd", help="Steer traffic as one of several entry VMs.")
-EXIT_BAD_SETTINGS = 2
-# Objects made since the last collection before the next one.
-GC_THRESHOLD = 20_000
 
 
 @app.default
@@ -46,29 +43,7 @@
     check: Annotated[bool, cyclopts.Parameter(help="only check the settings", negative="")] = False,
 ) -> int:
     """Steer traffic on the users' platform until SIGTERM, which stops it gracefully."""
-    import anyio
-
-    with without_modules("pygments"):
-        # The HTTP client's own command line is never used.
-        import httpx  # noqa: F401
-
-    from berylbankd._internal.steering_application import SteeringApplication, find_settings
-
-    path = settings or find_settings()
-    try:
-        application = SteeringApplication(path)
-    except BerylbankError as error:
-        print(error, file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    if check:
-        print(f"{path}: settings are valid")
-        return 0
-    # What the start made stays for good; collecting it again and again would cost processor time.
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-    gc.enable()
-    anyio.run(application.run, backend_options={"use_uvloop": True})
-    return 0
+    return run_steering(settings, check)
 
 
 def _run(settings: Settings) -> int:
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -1,6 +1,9 @@
 """Steps on the platform adapter."""
 
+import os
 import re
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 
@@ -113,3 +116,23 @@
         assert str(context.path) in str(error) and error.hint
         return
     raise AssertionError("the settings were taken")
+
+
+@when("the daemon is started as the platform does, without its settings file")
+def step_start_without_settings(context):
+    context.missing = "/nonexistent/node.toml"
+    context.done = subprocess.run(
+        [sys.executable, "-X", "importtime", "-m", "berylbankd", "steer"],
+        env={**os.environ, "BERYLBANK_NODE_FILE": context.missing},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+@then("it ends with code 2, names the file and the remedy, and has imported no argument parser")
+def step_named_remedy(context):
+    assert context.done.returncode == 2, context.done.returncode
+    assert context.missing in context.done.stderr
+    assert "hint: name a readable TOML file" in context.done.stderr
+    assert "cyclopts" not in context.done.stderr
