Keep idle connections to servers longer, and for less where they are forgotten

Now 8 s for requests that may be repeated, bounded as before by what the server announces; a server that forgot one after a rest of t gets less than half of t for its others, and more again with each one that held. Bookings keep their 1.5 s. Not measured yet.

--- a/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
@@ -115,6 +115,7 @@
         self.answers = AnswerParser()
         self.opened_ms = now_ms
         self.idle_since_ms = now_ms
+        self.rested_ms = 0
         self.sent = False
         self.sent_whole = False
         self.requests = 0
--- a/packages/berylbankd/src/berylbankd/_internal/backends/pool.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/pool.py
@@ -7,6 +7,11 @@
 MAX_AGE_MS = 60_000
 MAX_IDLE_MS = 5_000
 MAX_IDLE_PER_BACKEND = 16
+# After a server has forgotten an idle connection, others to it may rest for this part of that time;
+# each one that is still there after its rest raises the limit again.
+FORGOTTEN_PART = 0.5
+HELD_RATIO = 1.5
+LEAST_IDLE_MS = 50
 
 
 class ConnectionPool:
@@ -14,6 +19,7 @@
 
     def __init__(self) -> None:
         self.idle: dict[str, list[BackendConnection]] = {}
+        self.limits_ms: dict[str, float] = {}
 
     async def acquire(
         self,
@@ -29,6 +35,7 @@
         ``max_idle_ms`` is how long a connection may have been idle, ``timeout_s`` how long a new
         one may take to open.
         """
+        max_idle_ms = min(max_idle_ms, int(self.limits_ms.get(address, max_idle_ms)))
         waiting = self.idle.get(address, [])
         while waiting and not fresh:
             connection = waiting[-1]
@@ -36,10 +43,25 @@
                 break
             waiting.pop()
             if _is_usable(connection, now_ms):
+                connection.rested_ms = now_ms - connection.idle_since_ms
                 return connection
             await connection.aclose()
         return await BackendConnection.open(address, now_ms, timeout_s)
 
+    def note_forgotten(self, address: str, rested_ms: int) -> None:
+        """Record that a connection was gone after its rest, without a word."""
+        self.limits_ms[address] = max(LEAST_IDLE_MS, rested_ms * FORGOTTEN_PART)
+
+    def note_held(self, address: str) -> None:
+        """Record that a connection was still there after its rest."""
+        limit_ms = self.limits_ms.get(address)
+        if limit_ms is None:
+            return
+        if limit_ms * HELD_RATIO >= MAX_IDLE_MS:
+            del self.limits_ms[address]
+        else:
+            self.limits_ms[address] = limit_ms * HELD_RATIO
+
     async def release(self, address: str, connection: BackendConnection, now_ms: int) -> None:
         """Keep a connection whose exchange ended properly, or close it."""
         waiting = self.idle.setdefault(address, [])
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -31,7 +31,7 @@
 CONNECT_TIMEOUT_S = 0.5
 # A request that must run once uses only connections that were in use a moment ago.
 UNSAFE_IDLE_MS = 1_500
-IDLE_MS = 4_000
+IDLE_MS = 8_000
 # Connections are dropped this long before the server said that it would close them.
 IDLE_MARGIN_MS = 1_000
 # An idempotent request leaves a server that takes this many times the usual and the objective.
@@ -239,6 +239,8 @@
         except BackendFailure as failure:
             if failure.reason == "connect" or not connection.sent:
                 return Outcome(failure=Failure.NOT_SENT)
+            if connection.reused and not connection.answers.messages:
+                self.pool.note_forgotten(pick.server.entry.address, connection.rested_ms)
             self._note_broken(ask, pick, failure.reason, started)
             return Outcome(failure=Failure.BROKEN)
         except TimeoutError:
@@ -246,6 +248,8 @@
             await self.pool.drop(pick.server.entry.address)
             self._note_broken(ask, pick, "no answer in time", started)
             return Outcome(failure=Failure.HUNG)
+        if connection.reused:
+            self.pool.note_held(pick.server.entry.address)
         return self._judge(ask, pick, told, answer, started)
 
     def _judge(
--- a/tests/steps/ingress_steps.py
+++ b/tests/steps/ingress_steps.py
@@ -1,9 +1,13 @@
 """Steps on the callers' application, with a rate gate that lets things happen while it is asked."""
 
+import socket
+
 import anyio
 from behave import given, then, when
 
 from berylbank._internal.utils.clock import BootClock
+from berylbankd._internal.backends.connection import BackendFailure
+from berylbankd._internal.backends.pool import ConnectionPool
 from berylbankd._internal.facts.types import CallerLimits, Configuration, Organisation, Service
 from berylbankd._internal.ingress.app import CallerApp
 from berylbankd._internal.ingress.rate_gate import RateGate
@@ -13,6 +17,9 @@
 from tests.steps.steering_steps import ROUTE
 from tests.support.steering import DOCUMENTS, entry_row, make_place
 
+NOW_MS = 10_000
+# Nothing listens there.
+ADDRESS = "127.0.0.1:1"
 KEY = "key-of-alder"
 HOLDERS = {"is withdrawn": None, "goes to another organisation": "birch"}
 
@@ -90,6 +97,69 @@
     assert ("first" in context.asked_next) == (word == "asked again"), context.asked_next
 
 
+class Rested:
+    """An idle connection whose other end is still open."""
+
+    def __init__(self, rested_ms):
+        self.ends = socket.socketpair()
+        self.descriptor = self.ends[0].fileno()
+        self.opened_ms = 0
+        self.idle_since_ms = NOW_MS - rested_ms
+        self.max_idle_ms = None
+
+    async def aclose(self):
+        for end in self.ends:
+            end.close()
+
+
+def is_reused(context, rested_ms):
+    """Tell whether the pool hands out a connection that has rested, in place of a new one."""
+    connection = Rested(rested_ms)
+    context.pool.idle[ADDRESS] = [connection]
+
+    async def acquire():
+        try:
+            return await context.pool.acquire(ADDRESS, NOW_MS, fresh=False, max_idle_ms=8_000)
+        except BackendFailure:
+            return None
+
+    reused = anyio.run(acquire) is connection
+    anyio.run(connection.aclose)
+    return reused
+
+
+@given("a pool with a connection that has rested for {ms:d} ms")
+def step_pool(context, ms):
+    context.pool = ConnectionPool()
+    context.rested = ms
+
+
+@then("it is used again")
+def step_used_again(context):
+    assert is_reused(context, context.rested)
+
+
+@when("a connection was gone after a rest of {ms:d} ms")
+def step_forgotten(context, ms):
+    context.pool.note_forgotten(ADDRESS, ms)
+
+
+@when("{count:d} connections were still there after their rest")
+def step_held(context, count):
+    for _ in range(count):
+        context.pool.note_held(ADDRESS)
+
+
+@then("a connection that has rested for {ms:d} ms is not used again")
+def step_not_reused(context, ms):
+    assert not is_reused(context, ms)
+
+
+@then("a connection that has rested for {ms:d} ms is used again")
+def step_reused(context, ms):
+    assert is_reused(context, ms)
+
+
 @given("a VM whose organisation alder holds the key of a request")
 def step_vm(context):
     context.steering = Steering(make_place("vm-0", "a"), DOCUMENTS, 1, 0)
