--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -21,8 +21,10 @@
 # Part of the servers that may be ejected; beyond it all are used again.
 MAX_EJECTED_SHARE = 0.5
 HASH_SPAN = float(2**64)
-# Servers that may handle one object: enough for a busy one, few enough to stay warm.
-RANKS_PER_OBJECT = 2
+# Servers that may handle one object: enough for a busy one, few enough to stay warm. Where regions
+# are apart, the fleet has that many in each.
+RANKS_IN_REGION = 2
+RANKS_IN_FLEET = 3
 # Rankings remembered at most in a group.
 MAX_RANKINGS = 5_000
 # Requests that may wait at the first server in rank, as a part of its slots, before the next one is
@@ -37,13 +39,14 @@
 
     ``failure_domain`` is where a server is preferred, empty where affinity matters more than
     bytes between failure domains. ``wait_slots`` is how many requests per slot may wait at a
-    server ahead of this one.
+    server ahead of this one. ``ranks`` is how many servers may handle the object.
     """
 
     object_key: str
     failure_domain: str
     tried: frozenset[str]
     wait_slots: float
+    ranks: int = RANKS_IN_REGION
 
 
 class Choice(NamedTuple):
@@ -137,7 +140,7 @@
                 return choice
             if not state.is_cold(now_ms):
                 first.append(choice)
-            if wanted.object_key and len(first) >= RANKS_PER_OBJECT:
+            if wanted.object_key and len(first) >= wanted.ranks:
                 break
         return shortest_queue(first, wanted, median_ms)
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/quotas.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/quotas.py
@@ -26,7 +26,7 @@
 STRANGERS = 12
 SETTLE_MS = 1_000
 # A new owner begins with the tokens of this time: the owner before it may have spent the burst.
-FIRST_TOKENS_MS = 400
+FIRST_TOKENS_MS = 600
 # A VM fetches tokens ahead for this time, and drops what it has not used after the second.
 AHEAD_MS = 200
 KEEP_MS = 1_000
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -114,6 +114,22 @@
     assert len(context.went) == 1 and context.first not in context.went
 
 
+@when("{count:d} requests for one object arrive at once, with {ranks:d} ranks")
+def step_burst(context, count, ranks):
+    group = ServerGroup(context.servers)
+    for _ in range(count):
+        found = group.choose(want("o1")._replace(ranks=ranks), admit_all, 0)
+        if found is not None:
+            found.server.in_flight += 1
+
+
+@then("{count:d} servers got some, and none got more than slots and queue")
+def step_burst_spread(context, count):
+    held = [state.in_flight for state in context.servers if state.in_flight]
+    assert len(held) == count, held
+    assert max(held) <= 8, held
+
+
 @when("a server joins")
 def step_joins(context):
     before = {n: place(context, f"o{n}").entry.id for n in range(200)}
--- a/tests/unit/steering/placement.feature
+++ b/tests/unit/steering/placement.feature
@@ -10,6 +10,16 @@
     When the first server of an object is full
     Then its requests go to one other server
 
+  Scenario Outline: an object of a burst is handled by <servers> servers where it has <ranks> ranks
+    Given 6 servers of 4 slots in 2 failure domains
+    When 60 requests for one object arrive at once, with <ranks> ranks
+    Then <servers> servers got some, and none got more than slots and queue
+
+    Examples:
+      | ranks | servers |
+      | 2     | 2       |
+      | 3     | 3       |
+
   Scenario: objects stay where they were when a server joins
     Given 6 servers of 4 slots in 2 failure domains
     When a server joins
