--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -21,10 +21,8 @@
 # Part of the servers that may be ejected; beyond it all are used again.
 MAX_EJECTED_SHARE = 0.5
 HASH_SPAN = float(2**64)
-# Servers that may handle one object: enough for a busy one, few enough to stay warm. Where regions
-# are apart, the fleet has that many in each.
-RANKS_IN_REGION = 2
-RANKS_IN_FLEET = 3
+# Servers that may handle one object: enough for a busy one, few enough to stay warm.
+RANKS_PER_OBJECT = 2
 # Rankings remembered at most in a group.
 MAX_RANKINGS = 5_000
 # Requests that may wait at the first server in rank, as a part of its slots, before the next one is
@@ -46,7 +44,7 @@
     failure_domain: str
     tried: frozenset[str]
     wait_slots: float
-    ranks: int = RANKS_IN_REGION
+    ranks: int = RANKS_PER_OBJECT
 
 
 class Choice(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -22,8 +22,6 @@
 )
 from berylbankd._internal.steering.membership import Membership
 from berylbankd._internal.steering.placement import (
-    RANKS_IN_FLEET,
-    RANKS_IN_REGION,
     ServerGroup,
     Wanted,
     hash_unit,
@@ -373,7 +371,6 @@
             "" if has_affinity(ask) else self.deployment.failure_domain,
             ask.tried,
             self._wait_slots(ask),
-            RANKS_IN_FLEET if self._spreads(ask, groups) else RANKS_IN_REGION,
         )
         admits = self._admits(now_ms)
         for region in self._order_regions(ask, groups, now_ms):
