Find other VMs at once at the start: settings may name none

Now the first VM of a new fleet creates one row and the others learn it by the same call; a VM that starts later reads the rows at once; a VM that has just been found is told of others at once. Tests: membership.feature (one call a VM); the real fleet of the functional tests and the soak has no seeds now.

--- a/packages/berylbankd/src/berylbankd/_internal/facts/rows.py
+++ b/packages/berylbankd/src/berylbankd/_internal/facts/rows.py
@@ -46,11 +46,16 @@
 
 
 class ConditionFailedError(StoreError):
-    """A conditional write lost; ``revision`` is the row's present one."""
+    """A conditional write lost; ``row`` is the present one, None where there is none."""
 
-    def __init__(self, revision: int) -> None:
+    def __init__(self, row: Row | None) -> None:
         super().__init__("condition")
-        self.revision = revision
+        self.row = row
+
+    @property
+    def revision(self) -> int:
+        """Return the row's present revision, 0 where there is none."""
+        return self.row.revision if self.row is not None else 0
 
 
 class RowStore(Protocol):
--- a/packages/berylbankd/src/berylbankd/_internal/platform/store.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/store.py
@@ -70,8 +70,8 @@
         answer = await self._send("POST", "/v1/rows-tx", {}, body, ANSWER_TIMEOUT_S)
         if answer.status_code == httpx.codes.PRECONDITION_FAILED:
             page, _, _ = _decode(_decode_page, answer.content, key.table)
-            found = [row.revision for row in page if row.key == key and row.value is not None]
-            raise ConditionFailedError(found[0] if found else 0)
+            found = [row for row in page if row.key == key and row.value is not None]
+            raise ConditionFailedError(found[0] if found else None)
         if answer.status_code != httpx.codes.OK:
             raise StoreError(f"status {answer.status_code}")
         revision: int = _decode(lambda raw, _: int(raw["ver"]), answer.content, key.table)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -44,6 +44,7 @@
         self.peers: dict[str, Peer] = {}
         self.hosts: set[str] = set()
         self.turn = 0
+        self.told = 0
 
     def note(self, beat: Heartbeat, now_ms: int) -> bool:
         """Take a heartbeat unless it is older than the one known; tell whether it is new."""
@@ -64,7 +65,8 @@
     def some_hosts(self) -> tuple[str, ...]:
         """Return a few hosts to tell others of, different ones each time."""
         hosts = sorted(self.hosts)
-        start = (self.turn * TOLD_HOSTS) % max(1, len(hosts))
+        self.told += TOLD_HOSTS
+        start = self.told % max(1, len(hosts))
         return tuple((hosts + hosts)[start : start + min(TOLD_HOSTS, len(hosts))])
 
     def silence_ms(self) -> int:
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -186,7 +186,11 @@
 
     def take_heartbeat(self, beat: Heartbeat) -> None:
         """Take another VM's heartbeat."""
+        known = beat.vm in self.steering.members.peers
         self.steering.take_heartbeat(beat, self.clock.now_ms())
+        if not known and beat.vm != self.deployment.vm:
+            # A VM that has just been found hears of this one, and of some more, at once.
+            self._send_heartbeat(self.clock.now_ms(), [beat.host])
         self.reader.note_heartbeat(beat)
 
     def _facts_changed(self) -> None:
@@ -211,11 +215,11 @@
             with anyio.move_on_after(HEARTBEAT_MS / 1000 * random.uniform(0.9, 1.1)):
                 await self.news.wait()
 
-    def _send_heartbeat(self, now_ms: int) -> None:
+    def _send_heartbeat(self, now_ms: int, hosts: list[str] | None = None) -> None:
         beat = self.steering.make_heartbeat(
             self.is_ready(), self.reader.store_answers, self.reader.table.positions, now_ms
         )
-        self.gossip.send_heartbeat(beat, self.steering.members.choose_receivers())
+        self.gossip.send_heartbeat(beat, hosts or self.steering.members.choose_receivers())
 
     # Life cycle
 
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -8,7 +8,13 @@
 from steering_fleet import free_port
 
 from berylbankd._internal.facts.deployment import Bounds
-from berylbankd._internal.facts.rows import Row, RowKey, RowTable, TableRead
+from berylbankd._internal.facts.rows import (
+    ConditionFailedError,
+    Row,
+    RowKey,
+    RowTable,
+    TableRead,
+)
 from berylbankd._internal.facts.types import (
     BackendServer,
     CallerLimits,
@@ -19,6 +25,7 @@
     Service,
     WeightedService,
 )
+from berylbankd._internal.feeds.registry import VmRegistry
 from berylbankd._internal.peers.codec import decode_datagram, encode_datagram
 from berylbankd._internal.peers.gossip import Gossip
 from berylbankd._internal.peers.messages import Heartbeat, TokenAsk, TokenGrant
@@ -542,6 +549,78 @@
     assert decode_datagram(encode_datagram(DATAGRAMS[kind])) == DATAGRAMS[kind]
 
 
+class VmRows:
+    """The store's table of VMs, with conditional writes."""
+
+    def __init__(self):
+        self.rows = {}
+        self.calls = 0
+
+    async def write(self, key, value, expected):
+        self.calls += 1
+        known = self.rows.get(key)
+        if (known.revision if known is not None else 0) != expected:
+            raise ConditionFailedError(known)
+        self.rows[key] = Row(key, value, len(self.rows) + 1)
+        return self.rows[key].revision
+
+    async def read_table(self, table):
+        self.calls += 1
+        return TableRead(table, tuple(self.rows.values()), len(self.rows))
+
+
+@given("an empty table of VMs")
+def step_no_vms(context):
+    context.vm_rows = VmRows()
+
+
+@given("a table of VMs with {count:d} readers")
+def step_readers_rows(context, count):
+    context.vm_rows = VmRows()
+    for number in range(count):
+        key = RowKey("vms", f"reader-{number}")
+        anyio.run(context.vm_rows.write, key, f"10.1.0.{number}".encode(), 0)
+    context.vm_rows.calls = 0
+
+
+def start_registries(context, count, first_start):
+    async def start_all():
+        async with anyio.create_task_group() as group:
+            for members in context.started:
+                registry = VmRegistry(context.vm_rows, members, "vms", lambda: False)
+                group.start_soon(registry.run)
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+    places = [make_place(f"vm-{n}")._replace(first_start=first_start) for n in range(count)]
+    context.started = [Membership(place) for place in places]
+    anyio.run(start_all)
+
+
+@when("{count:d} VMs start for the first time")
+def step_first_start(context, count):
+    start_registries(context, count, True)
+
+
+@when("1 VM starts again")
+def step_starts_again(context):
+    start_registries(context, 1, False)
+
+
+@then("all but the first know where the first one is, after one call each")
+def step_know_first(context):
+    first, *others = context.started
+    assert first.hosts == set()
+    assert all(members.hosts == {first.host} for members in others)
+    assert context.vm_rows.calls == len(context.started)
+
+
+@then("it knows the {count:d} readers, after one call")
+def step_know_readers(context, count):
+    assert context.started[0].hosts == {f"10.1.0.{n}" for n in range(count)}
+    assert context.vm_rows.calls == 1
+
+
 class Granter:
     """Grants one token to each VM that asks."""
 
--- a/tests/unit/steering/membership.feature
+++ b/tests/unit/steering/membership.feature
@@ -32,6 +32,16 @@
       | token grant |
       | grant that is not known |
 
+  Scenario: VMs of a fleet that starts for the first time find the one that came first
+    Given an empty table of VMs
+    When 5 VMs start for the first time
+    Then all but the first know where the first one is, after one call each
+
+  Scenario: a VM that starts later finds those that read the store
+    Given a table of VMs with 2 readers
+    When 1 VM starts again
+    Then it knows the 2 readers, after one call
+
   Scenario: asks that are sent at the same moment are all answered
     When a VM sends another 40 token asks and heartbeats at once
     Then all 40 are answered
--- a/tools/steering_fleet.py
+++ b/tools/steering_fleet.py
@@ -31,7 +31,8 @@
 zone = "{domain}"
 region = "{region}"
 ephemeralPorts = [{peer}, {last}]
-seeds = [{seeds}]
+seeds = []
+bootstrap = {first}
 bounds = ["graceS=2", "drainS=2.5", "configApplyS=2.5"]
 [zones]
 {zones}
@@ -147,7 +148,6 @@
             if vm.name not in self.store_links:
                 self.store_links[vm.name] = await self.open_store_link(vm.name, store)
             store = self.store_links[vm.name].listen
-        seeds = ", ".join(f'"{other.ip}:1"' for other in self.vms[:3])
         path.write_text(
             SETTINGS.format(
                 name=vm.name,
@@ -156,7 +156,7 @@
                 region=REGIONS[vm.domain],
                 peer=self.peer,
                 last=self.peer + 15,
-                seeds=seeds,
+                first="false" if vm.process is not None else "true",
                 zones="\n".join(f'{domain} = "{region}"' for domain, region in REGIONS.items()),
                 http=self.http,
                 ready=self.ready,
