Split the decisions of a VM: regions and rates have modules of their own

Moves only: the order of regions to region_planner.py, the keeping of tokens to rate_keeper.py, what is asked and picked to asks.py; changed settings are taken by one method.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/round_trips.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/round_trips.py
@@ -38,5 +38,5 @@
                 stream = await anyio.connect_tcp(beat.host, self.port)
         except (OSError, TimeoutError):
             return
-        self.steering.round_trips.note(region, self.clock.now_ms() - started_ms)
+        self.steering.regions.round_trips.note(region, self.clock.now_ms() - started_ms)
         await anyio.aclose_forcefully(stream)
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -13,7 +13,8 @@
 from berylbankd._internal.ingress.journal import RequestJournal, RequestRecord
 from berylbankd._internal.ingress.rate_gate import RateGate
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
-from berylbankd._internal.steering.steering import Ask, Steering
+from berylbankd._internal.steering.asks import Ask
+from berylbankd._internal.steering.steering import Steering
 
 # Time that the final answer needs to reach the caller before it stops waiting.
 ANSWER_MARGIN_MS = 20
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -23,7 +23,8 @@
 from berylbankd._internal.ingress.codec import AnswerFacts, DispatchFacts, HeaderCodec, HeaderList
 from berylbankd._internal.ingress.exchange import CallerExchange
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
-from berylbankd._internal.steering.steering import Ask, Pick, Steering
+from berylbankd._internal.steering.asks import Ask, Pick
+from berylbankd._internal.steering.steering import Steering
 
 # Answers up to this size are read whole before any of it is passed on.
 BUFFERED_ANSWER_BYTES = 1_048_576
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/rate_gate.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/rate_gate.py
@@ -33,10 +33,10 @@
 
     async def admit(self, organisation: Organisation) -> bool:
         """Tell whether a request may run now."""
-        book = self.steering.quotas
+        book = self.steering.rates.book
         if book.take(organisation, self.clock.now_ms()):
             return True
-        for owner in self.steering.token_owners(organisation.name):
+        for owner in self.steering.rates.owners(organisation.name):
             if self.clock.now_ms() < self.silent_until_ms.get(owner, 0):
                 continue
             grant = await self._ask(owner, organisation)
@@ -51,9 +51,10 @@
 
     async def _ask(self, owner: str, organisation: Organisation) -> TokenGrant | None:
         now_ms = self.clock.now_ms()
-        ask = self.steering.quotas.make_ask(organisation, now_ms)
+        rates = self.steering.rates
+        ask = rates.book.make_ask(organisation, now_ms)
         if owner == self.steering.deployment.vm:
-            return self.steering.grant_tokens(ask, now_ms)
+            return rates.grant(ask, self.steering.world.configuration, now_ms)
         host = self.steering.host_of(owner)
         if host is None:
             return None
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -6,35 +6,26 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 from loguru import logger
 
 from berylbankd._internal.facts.deployment import Deployment
-from berylbankd._internal.facts.types import ReleaseState, RequestKind, Route
+from berylbankd._internal.facts.types import ReleaseState, Route
 from berylbankd._internal.peers.messages import (
     Figure,
     Heartbeat,
     Position,
     ReleaseReport,
-    TokenAsk,
-    TokenGrant,
 )
+from berylbankd._internal.steering.asks import Ask, Pick
 from berylbankd._internal.steering.membership import Membership
 from berylbankd._internal.steering.placement import (
     ServerGroup,
     Wanted,
-    hash_unit,
 )
-from berylbankd._internal.steering.quotas import QuotaBook, rank_owners
+from berylbankd._internal.steering.rate_keeper import RateKeeper
 from berylbankd._internal.steering.reachability import DomainWatch
-from berylbankd._internal.steering.regions import (
-    RegionLoad,
-    RegionSplit,
-    RoundTrips,
-    assume_loads,
-    pick_region,
-)
+from berylbankd._internal.steering.region_planner import RegionPlanner
 from berylbankd._internal.steering.releases import LatencyBook, Release
 from berylbankd._internal.steering.retries import RetryBudget
 from berylbankd._internal.steering.returning import ReturnTimes
@@ -44,9 +35,6 @@
 
 # Requests that may wait at a server for each of its slots, where they will still be in time.
 MOST_WAIT_SLOTS = 1.0
-# Part of the requests that may leave the planned region because it has no room.
-OVERFLOW_RATE = 0.03
-OVERFLOW_MOST = 3.0
 # How often demand, splits between regions and lapsed servers are brought up to date.
 SLOW_TICK_MS = 500
 # Weight of the newest sample in running means of demand and of service time.
@@ -58,31 +46,6 @@
 LEAST_FIGURE = 0.05
 
 
-class Ask(NamedTuple):
-    """One request that needs a backend server; ``regions`` empty means anywhere."""
-
-    route: Route
-    service: str
-    object_key: str
-    regions: frozenset[str]
-    tried: frozenset[str]
-    left_ms: int
-
-
-class Pick(NamedTuple):
-    """The server chosen, the release under way, and whether the server runs its new version.
-
-    ``rank`` and ``load`` are what it was chosen by: its place in the object's rank in its region,
-    and the requests that it held as far as known.
-    """
-
-    server: ServerState
-    new: bool
-    release: Release | None
-    rank: int = 0
-    load: int = 0
-
-
 class Steering:
     """The decisions of one VM."""
 
@@ -94,10 +57,9 @@
         self.incarnation = incarnation
         self.world = World(documents)
         self.members = Membership(deployment)
-        self.quotas = QuotaBook(deployment.bounds, deployment.region, now_ms)
+        self.rates = RateKeeper(deployment, now_ms)
+        self.regions = RegionPlanner(deployment)
         self.budgets: dict[str, RetryBudget] = {}
-        self.splits: dict[str, RegionSplit] = {}
-        self.round_trips = RoundTrips()
         self.domains = DomainWatch()
         self.returns = ReturnTimes()
         self.allowances: dict[str, ColdAllowance] = {}
@@ -106,12 +68,9 @@
         self.service_ms: dict[str, float] = {}
         self.arrivals: dict[str, int] = defaultdict(int)
         self.demands: dict[str, float] = {}
-        self.overflow: dict[str, float] = defaultdict(float)
         self.credits: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
         self.vms: list[Heartbeat] = []
         self.near_vms: dict[str, list[str]] = {}
-        self.owners: dict[str, list[str]] = {}
-        self.told: dict[str, float] = {}
         self.groups: dict[tuple[str, str | None], dict[str, ServerGroup]] = {}
         self.generation = -1
         self.loaded: set[str] = set()
@@ -222,29 +181,15 @@
         """Return when a caller that found no room should come back."""
         return self.returns.next_ms(self.expected_ms(service)) / 1000
 
-    # Rates
-
-    def token_owners(self, organisation: str) -> list[str]:
-        """Return the VMs of this region that keep an organisation's tokens, in order."""
-        found = self.owners.get(organisation)
-        if found is None:
-            vms = self.near_vms.get(self.deployment.region, [self.deployment.vm])
-            found = self.owners[organisation] = rank_owners(organisation, vms)
-        return found
-
-    def grant_tokens(self, ask: TokenAsk, now_ms: int) -> TokenGrant:
-        """Return how many tokens a VM that asks gets."""
-        configuration = self.world.configuration
-        organisation = configuration.organisation(ask.organisation) if configuration else None
-        if organisation is None:
-            return TokenGrant(ask.number, 0, known=False)
-        return TokenGrant(ask.number, self.quotas.grant(organisation, ask, now_ms))
-
     def host_of(self, vm: str) -> str | None:
         """Return where a VM takes datagrams."""
         peer = self.members.peers.get(vm)
         return peer.beat.host if peer is not None else None
 
+    def reload(self, deployment: Deployment) -> None:
+        """Take changed settings."""
+        self.deployment = self.regions.deployment = deployment
+
     # Other VMs
 
     def take_heartbeat(self, beat: Heartbeat, now_ms: int) -> None:
@@ -270,7 +215,7 @@
         """Return this VM's report."""
         self.sequence += 1
         place = self.deployment
-        organisations = (Figure(name, amount) for name, amount in self.told.items())
+        organisations = (Figure(name, amount) for name, amount in self.rates.told.items())
         return Heartbeat(
             place.vm,
             self.incarnation,
@@ -297,10 +242,8 @@
     def tick(self, elapsed_ms: int, now_ms: int) -> None:
         """Bring demands, splits, quotas and releases up to date; called with each heartbeat."""
         self.vms = self.members.live(now_ms)
-        near_vms = self._vms_by_region()
-        if near_vms != self.near_vms:
-            self.near_vms = near_vms
-            self.owners.clear()
+        self.near_vms = self._vms_by_region()
+        self.rates.set_near(self.near_vms.get(self.deployment.region, [self.deployment.vm]))
         self._note_peers(now_ms)
         self.sync_releases(now_ms)
         self.since_slow_ms += elapsed_ms
@@ -312,7 +255,9 @@
         """Bring up to date what changes over seconds and walks over all backend servers."""
         self.world.expire_lapsed(now_ms)
         self._note_demands(elapsed_ms)
-        self._update_splits(now_ms)
+        if self.world.configuration is not None:
+            services, demands = self.world.configuration.services, self._demands_by_region()
+            self.regions.update(services, self.world, demands, now_ms)
 
     # Releases
 
@@ -366,14 +311,14 @@
         if ask.regions:
             groups = {name: group for name, group in groups.items() if name in ask.regions}
         wanted = Wanted(
-            ask.object_key if has_affinity(ask) else "",
+            ask.object_key if ask.has_affinity else "",
             # Without an object servers are alike, and the nearest one is best.
-            "" if has_affinity(ask) else self.deployment.failure_domain,
+            "" if ask.has_affinity else self.deployment.failure_domain,
             ask.tried,
             self._wait_slots(ask),
         )
         admits = self._admits(now_ms)
-        for region in self._order_regions(ask, groups, now_ms):
+        for region in self.regions.order(ask, groups, now_ms):
             found = groups[region].choose(wanted, admits, now_ms)
             if found is not None:
                 release = self.releases.get(ask.service)
@@ -408,44 +353,6 @@
         in_time = min(ask.left_ms, ask.route.objective_ms)
         return min(MOST_WAIT_SLOTS, max(0.0, (in_time - mean) / mean))
 
-    def _order_regions(self, ask: Ask, groups: dict[str, ServerGroup], now_ms: int) -> list[str]:
-        """Return regions to try: the planned one, then others within the overflow allowance."""
-        reached = {name: group for name, group in groups.items() if group.is_reachable(now_ms)}
-        groups = reached or groups
-        if len(groups) <= 1:
-            return list(groups)
-        first = self._planned_region(ask, groups)
-        allowance = min(OVERFLOW_MOST, self.overflow[ask.service] + OVERFLOW_RATE)
-        self.overflow[ask.service] = allowance
-        if allowance < 1:
-            return [first]
-        others = sorted(
-            (name for name in groups if name != first),
-            key=lambda name: name != self.deployment.region,
-        )
-        return [first, *others]
-
-    def _planned_region(self, ask: Ask, groups: dict[str, ServerGroup]) -> str:
-        own, split = self.deployment.region, self.splits.get(ask.service)
-        if self._spreads(ask, groups):
-            known, first = split.spread.fractions if split is not None else {}, ""
-        else:
-            known, first = split.near.fractions if split is not None else {own: 1.0}, own
-        fractions = {name: known.get(name, 0.0) for name in groups}
-        if sum(fractions.values()) <= 0:
-            fractions = {name: float(len(group.servers)) for name, group in groups.items()}
-        total = sum(fractions.values())
-        fractions = {name: part / total for name, part in fractions.items()}
-        unit = hash_unit("region", ask.object_key or ask.route.name, ask.service)
-        return pick_region(fractions, first, unit)
-
-    def _spreads(self, ask: Ask, groups: dict[str, ServerGroup]) -> bool:
-        """Tell whether a request goes to its object's region rather than to a near one."""
-        if not has_affinity(ask) or ask.route.kind is RequestKind.DOWNLOAD:
-            return False
-        others = (name for name in groups if name != self.deployment.region)
-        return all(self.round_trips.is_near(name, ask.route.objective_ms) for name in others)
-
     def _admits(self, now_ms: int) -> Callable[[ServerState], bool]:
         def admits(state: ServerState) -> bool:
             if not state.is_cold(now_ms):
@@ -496,67 +403,16 @@
             if state is not None:
                 state.peers_in_flight = round(by_server.get(server_id, 0))
         self.loaded = set(by_server)
-        self._note_rates(now_ms)
-
-    def _note_rates(self, now_ms: int) -> None:
-        """Bring shares of rates up to date, and keep tokens of what this VM owns."""
-        reported: dict[str, dict[str, float]] = defaultdict(dict)
-        own = (self.deployment.region, self.told.items())
-        others = ((beat.region, beat.organisations) for beat in self.vms)
-        for region, figures in [own, *others]:
-            for name, amount in figures:
-                # Two VMs of a region may both report for a moment, when an owner changes.
-                reported[name][region] = max(amount, reported[name].get(region, 0.0))
-        active = sum(1 for beat in self.vms if not beat.leaving)
         known = self.members.known_count(now_ms)
-        regions = len({self.deployment.region, *(beat.region for beat in self.vms)})
-        self.quotas.note_fleet(reported, regions, active + 1, known, now_ms)
-        self._keep_tokens(now_ms)
-        # The others know the demand of the heartbeat before, so this VM shares by that too.
-        self.told = self.quotas.demands(now_ms)
+        self.rates.update(self.world.configuration, self.vms, known, now_ms)
 
-    def _keep_tokens(self, now_ms: int) -> None:
-        configuration = self.world.configuration
-        if configuration is None:
-            return
-        owned = [
-            organisation
-            for organisation in configuration.organisations
-            if self.token_owners(organisation.name)[:1] == [self.deployment.vm]
-        ]
-        self.quotas.keep(owned, now_ms)
-
-    def _update_splits(self, now_ms: int) -> None:
-        configuration = self.world.configuration
-        if configuration is None:
-            return
-        for service in configuration.services:
-            split = self.splits.get(service)
-            if split is None:
-                region, max_shift = self.deployment.region, self.deployment.bounds.max_shift
-                split = self.splits[service] = RegionSplit(region, max_shift)
-            split.update(self._region_loads(service, now_ms), now_ms)
-
-    def _region_loads(self, service: str, now_ms: int) -> dict[str, RegionLoad]:
-        slots: dict[str, float] = dict.fromkeys(set(self.deployment.regions.values()), 0.0)
-        for state in self.world.servers_of(service):
-            region = self.deployment.regions.get(state.entry.failure_domain)
-            if region is not None and not state.is_ejected(now_ms):
-                slots[region] += state.entry.slots
-        demand: dict[str, float] = defaultdict(float)
-        demand[self.deployment.region] = self.demands.get(service, 0.0)
+    def _demands_by_region(self) -> dict[str, dict[str, float]]:
+        found: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
+        found[self.deployment.region].update(self.demands)
         for beat in self.vms:
             for figure in beat.demands:
-                if figure.name == service:
-                    demand[beat.region] += figure.amount
-        if sum(demand.values()) < 1:
-            return assume_loads(slots)
-        return {name: RegionLoad(demand.get(name, 0.0), count) for name, count in slots.items()}
-
-
-def has_affinity(ask: Ask) -> bool:
-    """Tell whether a server that handled the request's object lately works faster."""
-    return bool(ask.object_key) and ask.route.sticky
+                found[beat.region][figure.name] += figure.amount
+        return found
 
 
 def _worth_telling(figures: Iterable[Figure]) -> tuple[Figure, ...]:
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -182,7 +182,8 @@
 
     def grant_tokens(self, ask: TokenAsk) -> TokenGrant:
         """Answer a VM that asks for an organisation's tokens."""
-        return self.steering.grant_tokens(ask, self.clock.now_ms())
+        configuration = self.steering.world.configuration
+        return self.steering.rates.grant(ask, configuration, self.clock.now_ms())
 
     def take_heartbeat(self, beat: Heartbeat) -> None:
         """Take another VM's heartbeat."""
@@ -263,7 +264,8 @@
         except InvalidDocumentError as error:
             logger.error("settings not reloaded: {}", error)
             return
-        self.deployment = self.steering.deployment = loaded
+        self.deployment = loaded
+        self.steering.reload(loaded)
         self.steering.members.hosts.update(set(loaded.seed_hosts) - {loaded.host})
         logger.info("settings reloaded")
 
--- a/tests/steps/ingress_steps.py
+++ b/tests/steps/ingress_steps.py
@@ -73,7 +73,7 @@
 @given("a VM that asks two owners for tokens")
 def step_owners(context):
     context.steering = Steering(make_place("vm-0", "a"), DOCUMENTS, 1, 0)
-    context.steering.token_owners = lambda name: ["vm-1", "vm-2"]
+    context.steering.rates.owners = lambda name: ["vm-1", "vm-2"]
     context.steering.host_of = {"vm-1": "first", "vm-2": "second"}.get
 
 
--- a/tests/steps/steered_release_steps.py
+++ b/tests/steps/steered_release_steps.py
@@ -9,8 +9,9 @@
 from berylbankd._internal.facts.rows import Row, RowKey
 from berylbankd._internal.facts.types import ReleaseOrder, RequestKind, Route
 from berylbankd._internal.peers.codec import decode_datagram, encode_datagram
+from berylbankd._internal.steering.asks import Ask
 from berylbankd._internal.steering.releases import LatencyBook, Release
-from berylbankd._internal.steering.steering import Ask, Steering
+from berylbankd._internal.steering.steering import Steering
 from tests.support.steering import DOCUMENTS, entry_row, make_place
 
 SEED = 20261204
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -29,6 +29,7 @@
 from berylbankd._internal.peers.codec import decode_datagram, encode_datagram
 from berylbankd._internal.peers.gossip import Gossip
 from berylbankd._internal.peers.messages import Heartbeat, TokenAsk, TokenGrant
+from berylbankd._internal.steering.asks import Ask, Pick
 from berylbankd._internal.steering.membership import Membership, choose_readers
 from berylbankd._internal.steering.placement import (
     ServerGroup,
@@ -41,7 +42,7 @@
 from berylbankd._internal.steering.regions import RegionLoad, RegionSplit, plan_fractions
 from berylbankd._internal.steering.returning import ReturnTimes
 from berylbankd._internal.steering.servers import ServerState
-from berylbankd._internal.steering.steering import Ask, Pick, Steering
+from berylbankd._internal.steering.steering import Steering
 from berylbankd._internal.steering.warming import ColdAllowance, find_owner
 from berylbankd._internal.steering.world import World
 from tests.support.steering import DOCUMENTS, entry_row, make_place
@@ -284,9 +285,9 @@
 
 def measure_regions(context, taken_ms):
     for steering in context.steerings:
-        steering.round_trips.least_ms.clear()
+        steering.regions.round_trips.least_ms.clear()
         for region in set(steering.deployment.regions.values()) - {steering.deployment.region}:
-            steering.round_trips.note(region, taken_ms)
+            steering.regions.round_trips.note(region, taken_ms)
 
 
 def put_configuration(steering):
