Count servers that can't be reached for three seconds only; log a way that can't be measured

Cause, found by reading the diff: the watch of failure domains forgot a server only when a new connection to its domain opened, so three servers that failed minutes apart ejected all others for a second. The new scenario failed before.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/round_trips.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/round_trips.py
@@ -1,6 +1,7 @@
 """Measures the way to other regions, by connections to one VM in each."""
 
 import anyio
+from loguru import logger
 
 from berylbank._internal.utils.clock import Clock
 from berylbankd._internal.peers.messages import Heartbeat
@@ -36,7 +37,8 @@
         try:
             with anyio.fail_after(TIMEOUT_S):
                 stream = await anyio.connect_tcp(beat.host, self.port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            logger.info("way to {} not measured: {}", region, type(error).__name__)
             return
         self.steering.regions.round_trips.note(region, self.clock.now_ms() - started_ms)
         await anyio.aclose_forcefully(stream)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -142,7 +142,7 @@
         entry = pick.server.entry
         if pick.server.note_unreached(now_ms):
             logger.info("backend server {} ejected: not reached", entry.id)
-        if not self.domains.note_unreached(entry.failure_domain, entry.id):
+        if not self.domains.note_unreached(entry.failure_domain, entry.id, now_ms):
             return
         logger.warning(
             "failure domain {} not reached; its servers are ejected", entry.failure_domain
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -349,6 +349,21 @@
             steering.note_unreached(Pick(state, False, None), 300)
 
 
+@when('three servers of "{domain}" can\'t be reached, a minute after each other')
+def step_dark_apart(context, domain):
+    for steering in context.steerings:
+        near = [s for s in steering.world.servers.values() if s.entry.failure_domain == domain]
+        for minute, state in enumerate(near[:3]):
+            steering.note_unreached(Pick(state, False, None), 300 + minute * 60_000)
+
+
+@then('the others of "{domain}" are still used')
+def step_still_used(context, domain):
+    for steering in context.steerings:
+        (other,) = [s for s in steering.world.servers.values() if s.entry.id == "s3"]
+        assert not other.is_ejected(120_301), domain
+
+
 @then('no object is sent to "{domain}"')
 def step_none_in(context, domain):
     for steering in context.steerings:
--- a/tests/unit/steering/regions.feature
+++ b/tests/unit/steering/regions.feature
@@ -38,3 +38,8 @@
     Given the objects' regions of 3 VMs with servers "s0 a, s1 a, s2 a, s3 a, s4 b"
     When three servers of "a" can't be reached
     Then no object is sent to "a"
+
+  Scenario: servers that can't be reached minutes apart do not make their failure domain dark
+    Given the objects' regions of 3 VMs with servers "s0 a, s1 a, s2 a, s3 a, s4 b"
+    When three servers of "a" can't be reached, a minute after each other
+    Then the others of "a" are still used
