Spend the overflow allowance of requests that leave a full region

Cause: the credit of 3% was earned and never spent, so after 34 requests of a service every request whose region was full could go to any region. Objects were then handled by up to six servers in place of two, more than the servers keep cached; requests took three times as long, so that the regions stayed full.

The new scenario fails before.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/region_planner.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/region_planner.py
@@ -47,11 +47,13 @@
         if len(groups) <= 1:
             return list(groups)
         first_region = self._plan_region(request, groups)
-        credit = min(
-            MAX_OVERFLOW_CREDIT, self.overflow_credit[request.service] + OVERFLOW_CREDIT_PER_REQUEST
-        )
-        self.overflow_credit[request.service] = credit
-        if credit < 1:
+        if not request.tried:
+            # Each request earns credit once, however often it is picked a server.
+            self.overflow_credit[request.service] = min(
+                MAX_OVERFLOW_CREDIT,
+                self.overflow_credit[request.service] + OVERFLOW_CREDIT_PER_REQUEST,
+            )
+        if self.overflow_credit[request.service] < 1:
             return [first_region]
         others = sorted(
             (name for name in groups if name != first_region),
@@ -59,6 +61,10 @@
         )
         return [first_region, *others]
 
+    def record_overflow(self, service: str) -> None:
+        """Spend credit for a request that is sent to another region than the planned one."""
+        self.overflow_credit[service] -= 1
+
     def update(
         self,
         services: Iterable[str],
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -347,9 +347,12 @@
             self._compute_max_queue_per_slot(request),
         )
         admit = self._make_admission_check(now_ms)
-        for region in self.region_planner.order_regions(request, groups, now_ms):
+        regions = self.region_planner.order_regions(request, groups, now_ms)
+        for region in regions:
             placement = groups[region].choose(query, admit, now_ms)
             if placement is not None:
+                if region != regions[0]:
+                    self.region_planner.record_overflow(request.service)
                 release = self.releases.get(request.service)
                 return Pick(placement.server, new_version, release, placement.rank, placement.load)
         return None
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -977,3 +977,30 @@
     for own in others:
         readers = choose_readers([item for item in heartbeats if item is not own], own.vm, True)
         assert len(readers) == 2 and context.failed_reader not in readers
+
+
+@when('every server of region "{region}" is full while 1000 requests for objects arrive at a VM')
+def step_full_region(context, region):
+    steering = context.steerings[0]
+    regions = steering.deployment.regions
+    planned = {number: pick_server_for(steering, number) for number in range(1_000)}
+    context.in_full_region = [
+        number
+        for number, pick in planned.items()
+        if regions[pick.server.registration.failure_domain] == region
+    ]
+    for state in steering.routing_state.servers.values():
+        if regions[state.registration.failure_domain] == region:
+            state.in_flight = 100
+    context.overflowed = [
+        number
+        for number in context.in_full_region
+        if pick_server_for(steering, number) is not None
+    ]
+
+
+@then('at most {limit:d} of them were sent to region "{other}" in place of region "{region}"')
+def step_overflow(context, limit, other, region):
+    # The bound: 3% of the requests, and the credit that was saved up before.
+    assert len(context.in_full_region) > 300
+    assert len(context.overflowed) <= limit, len(context.overflowed)
--- a/tests/unit/steering/regions.feature
+++ b/tests/unit/steering/regions.feature
@@ -43,3 +43,8 @@
     Given 3 VMs that route by object, with servers "s0 a, s1 a, s2 a, s3 a, s4 b"
     When three servers of "a" can't be reached, a minute apart
     Then the others of "a" are still used
+
+  Scenario: objects do not spread to all regions while their own region is full
+    Given 3 VMs that route by object, with servers "s0 a, s1 a, s2 b, s3 b"
+    When every server of region "one" is full while 1000 requests for objects arrive at a VM
+    Then at most 34 of them were sent to region "two" in place of region "one"
