Send requests of a full region to a region with many free slots, whatever the allowance

The allowance now bounds only what goes to regions above half of their slots, where cold requests feed on themselves. New scenario: none is refused while another region is idle; the bound for busy ones is unchanged.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -31,6 +31,8 @@
 FIRST_SERVER_QUEUE_PER_SLOT = 0.34
 # Interval at which the median latency of a group is recomputed.
 MEDIAN_LATENCY_TTL_MS = 250
+# Interval at which the utilisation of a group is recomputed.
+UTILISATION_TTL_MS = 100
 
 
 class PlacementQuery(NamedTuple):
@@ -119,6 +121,18 @@
         self.rankings: dict[tuple[str, str], list[ServerState]] = {}
         self.median_ms = 0.0
         self.median_expires_ms = 0
+        self.known_utilisation = 0.0
+        self.utilisation_expires_ms = 0
+
+    def utilisation(self, now_ms: int) -> float:
+        """Return the requests at the servers that are not ejected, per slot."""
+        if now_ms >= self.utilisation_expires_ms:
+            usable = [state for state in self.servers if not state.is_ejected(now_ms)]
+            slots = sum(state.registration.slots for state in usable)
+            load = sum(state.load(now_ms) for state in usable)
+            self.known_utilisation = load / slots if slots else 1.0
+            self.utilisation_expires_ms = now_ms + UTILISATION_TTL_MS
+        return self.known_utilisation
 
     def choose(
         self, query: PlacementQuery, admit: Callable[[ServerState], bool], now_ms: int
--- a/packages/berylbankd/src/berylbankd/_internal/steering/region_planner.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/region_planner.py
@@ -1,8 +1,9 @@
 """Orders the regions that are searched for a request's backend server.
 
-The order follows the splits of :mod:`regions`. When the planned region briefly has no capacity,
-only a few requests may go to other regions, as servers there have not handled their objects
-recently and would be slow.
+The order follows the splits of :mod:`regions`. When the planned region has no capacity, requests go
+to a region with many free slots. To busy regions only a few may go: servers there have not handled
+their objects recently, so each would take several times longer and push objects out of their cache,
+until all regions are full of slow requests.
 """
 
 from collections import defaultdict
@@ -25,6 +26,8 @@
 # is kept up to the maximum, in requests.
 OVERFLOW_CREDIT_PER_REQUEST = 0.03
 MAX_OVERFLOW_CREDIT = 3.0
+# A region below this utilisation of its slots serves requests of full regions without a limit.
+FREE_REGION_UTILISATION = 0.5
 
 
 class RegionPlanner:
@@ -39,7 +42,7 @@
     def order_regions(
         self, request: PickRequest, groups: dict[str, ServerGroup], now_ms: int
     ) -> list[str]:
-        """Return the regions to try: the planned one, then others while overflow credit is left."""
+        """Return the regions to try: the planned one, then free ones or, for credit, all others."""
         reachable = {
             name: group for name, group in groups.items() if group.has_usable_server(now_ms)
         }
@@ -53,17 +56,18 @@
                 MAX_OVERFLOW_CREDIT,
                 self.overflow_credit[request.service] + OVERFLOW_CREDIT_PER_REQUEST,
             )
-        if self.overflow_credit[request.service] < 1:
-            return [first_region]
         others = sorted(
             (name for name in groups if name != first_region),
             key=lambda name: name != self.deployment.region,
         )
+        if self.overflow_credit[request.service] < 1:
+            others = [name for name in others if is_free(groups[name], now_ms)]
         return [first_region, *others]
 
-    def record_overflow(self, service: str) -> None:
+    def record_overflow(self, service: str, group: ServerGroup, now_ms: int) -> None:
         """Spend credit for a request that is sent to another region than the planned one."""
-        self.overflow_credit[service] -= 1
+        if not is_free(group, now_ms):
+            self.overflow_credit[service] -= 1
 
     def update(
         self,
@@ -123,3 +127,8 @@
         if sum(demand.values()) < 1:
             return assume_loads(slots)
         return {name: RegionLoad(demand.get(name, 0.0), count) for name, count in slots.items()}
+
+
+def is_free(group: ServerGroup, now_ms: int) -> bool:
+    """Tell whether the servers of a region have many free slots."""
+    return group.utilisation(now_ms) < FREE_REGION_UTILISATION
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -355,7 +355,7 @@
             placement = groups[region].choose(query, admit, now_ms)
             if placement is not None:
                 if region != regions[0]:
-                    self.region_planner.record_overflow(request.service)
+                    self.region_planner.record_overflow(request.service, groups[region], now_ms)
                 release = self.releases.get(request.service)
                 return Pick(placement.server, new_version, release, placement.rank, placement.load)
         return None
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -979,8 +979,11 @@
         assert len(readers) == 2 and context.failed_reader not in readers
 
 
-@when('every server of region "{region}" is full while 1000 requests for objects arrive at a VM')
-def step_full_region(context, region):
+@when(
+    'every server of region "{region}" is full while 1000 requests for objects arrive at a VM '
+    "and the others have {used:d} of 4 slots in use"
+)
+def step_full_region(context, region, used):
     steering = context.steerings[0]
     regions = steering.deployment.regions
     planned = {number: pick_server_for(steering, number) for number in range(1_000)}
@@ -990,12 +993,12 @@
         if regions[pick.server.registration.failure_domain] == region
     ]
     for state in steering.routing_state.servers.values():
-        if regions[state.registration.failure_domain] == region:
-            state.in_flight = 100
+        is_full = regions[state.registration.failure_domain] == region
+        state.in_flight = 100 if is_full else used
     context.overflowed = [
         number
         for number in context.in_full_region
-        if pick_server_for(steering, number) is not None
+        if pick_server_for(steering, number, 1_000) is not None
     ]
 
 
@@ -1004,3 +1007,8 @@
     # The bound: 3% of the requests, and the credit that was saved up before.
     assert len(context.in_full_region) > 300
     assert len(context.overflowed) <= limit, len(context.overflowed)
+
+
+@then('all of them were sent to region "{other}"')
+def step_all_overflow(context, other):
+    assert context.overflowed == context.in_full_region
--- a/tests/unit/steering/regions.feature
+++ b/tests/unit/steering/regions.feature
@@ -44,7 +44,12 @@
     When three servers of "a" can't be reached, a minute apart
     Then the others of "a" are still used
 
-  Scenario: objects do not spread to all regions while their own region is full
+  Scenario: objects do not spread to busy regions while their own region is full
     Given 3 VMs that route by object, with servers "s0 a, s1 a, s2 b, s3 b"
-    When every server of region "one" is full while 1000 requests for objects arrive at a VM
+    When every server of region "one" is full while 1000 requests for objects arrive at a VM and the others have 3 of 4 slots in use
     Then at most 34 of them were sent to region "two" in place of region "one"
+
+  Scenario: requests of a full region are not refused while another region is idle
+    Given 3 VMs that route by object, with servers "s0 a, s1 a, s2 b, s3 b"
+    When every server of region "one" is full while 1000 requests for objects arrive at a VM and the others have 1 of 4 slots in use
+    Then all of them were sent to region "two"
