--- a/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
@@ -24,7 +24,7 @@
 READER_CHECK_INTERVAL_S = 0.5
 # Consecutive checks that must find the VM to be a reader before it registers as one.
 CONSECUTIVE_READER_CHECKS = 4
-# How often a VM checks whether it has received heartbeats; if not, it reads the VMs in the store.
+# How often a VM checks whether it has received digests; if not, it reads the VMs in the store.
 PEER_CHECK_INTERVAL_S = 1.5
 REGISTER_RETRY_DELAY_S = 1.0
 # Key of the row that the first VM of a new fleet creates.
@@ -46,7 +46,7 @@
         self.is_reader = is_reader
 
     async def run(self) -> None:
-        """Register this VM, and read the VMs in the store while no heartbeat has arrived."""
+        """Register this VM, and read the VMs in the store while no digest has arrived."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._register_when_reader)
             if self.membership.deployment.first_start:
@@ -55,11 +55,11 @@
                 await self._discover_vms()
             while True:
                 await anyio.sleep(PEER_CHECK_INTERVAL_S)
-                if not self.membership.peers:
+                if not self.membership.known:
                     await self._discover_vms()
 
     async def _register_when_reader(self) -> None:
-        # A VM that has just started may be a reader briefly, until it receives the heartbeats of
+        # A VM that has just started may be a reader briefly, until it receives the digests of
         # the other readers.
         positive_checks = 0
         while positive_checks < CONSECUTIVE_READER_CHECKS:
@@ -98,7 +98,7 @@
         except StoreError as error:
             logger.info(
                 "row of the first VM of the fleet could not be written or read; "
-                "waiting for heartbeats: {}",
+                "waiting for digests: {}",
                 error.reason,
             )
 
@@ -109,7 +109,7 @@
         except StoreError as error:
             logger.info(
                 "hosts of other VMs could not be read from the store; "
-                "retrying if no heartbeat arrives: {}",
+                "retrying if no digest arrives: {}",
                 error.reason,
             )
             return
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/release_driver.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/release_driver.py
@@ -53,7 +53,8 @@
             self.states_read = True
         except StoreError as error:
             logger.info("release states could not be read from the store: {}", error.reason)
-            self.states_read = bool(self.steering.live_heartbeats)
+            # Other VMs report the steps that they have reached; alone this VM must know the state.
+            self.states_read = bool(self.steering.membership.live)
             await anyio.sleep(STORE_RETRY_DELAY_S)
 
     async def _advance(self, release: Release) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/round_trips.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/round_trips.py
@@ -4,7 +4,7 @@
 from loguru import logger
 
 from berylbank._internal.utils.clock import Clock
-from berylbankd._internal.peers.messages import Heartbeat
+from berylbankd._internal.peers.messages import Member
 from berylbankd._internal.steering.steering import Steering
 
 # The first measurements are repeated soon, as a VM that has just started is busy, which distorts
@@ -32,16 +32,16 @@
                 if measurements < INITIAL_MEASUREMENTS
                 else MEASURE_INTERVAL_S
             )
-            heartbeats = self.steering.choose_measured_vms()
-            for region, heartbeat in heartbeats.items():
-                await self._measure(region, heartbeat)
-            measurements += 1 if heartbeats else 0
+            members = self.steering.choose_measured_vms()
+            for region, member in members.items():
+                await self._measure(region, member)
+            measurements += 1 if members else 0
 
-    async def _measure(self, region: str, heartbeat: Heartbeat) -> None:
+    async def _measure(self, region: str, member: Member) -> None:
         started_ms = self.clock.now_ms()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(heartbeat.host, self.port)
+                stream = await anyio.connect_tcp(member.host, self.port)
         except (OSError, TimeoutError) as error:
             logger.info(
                 "round-trip time to region {} could not be measured, keeping the estimate: {}",
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -2,7 +2,7 @@
 
 A few VMs, the readers, read the store directly, and the other VMs fetch changed rows from VMs that
 have them, so that a change does not cost one store call per VM. A VM reads the store itself while
-it ranks among the readers, while it receives no heartbeat from a reader, and when no other VM
+it ranks among the readers, while it hears of no reader, and when no other VM
 returns the rows that it is missing.
 """
 
@@ -16,9 +16,10 @@
 from berylbank._internal.utils.clock import Clock
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.models.rows import HistoryLostError, Row, RowCache, RowStore, StoreError
-from berylbankd._internal.peers.messages import Heartbeat, Position, TableRows
+from berylbankd._internal.peers.messages import Position, StateDigest, TableRows
 from berylbankd._internal.peers.transport import fetch_rows
 from berylbankd._internal.steering.membership import (
+    LISTED_TIMEOUT_MS,
     Membership,
     choose_readers,
     compute_reader_rank,
@@ -37,9 +38,11 @@
 # Pause before a failed store call is repeated; it doubles with each failure up to the maximum.
 STORE_RETRY_MIN_S = 0.1
 STORE_RETRY_MAX_S = 1.0
+# VMs that are asked for newer rows before the store is read.
+MAX_ROW_SOURCES = 2
 # How often a VM checks whether it is a reader.
 READER_CHECK_INTERVAL_S = 0.25
-# After its start a VM waits for heartbeats of other VMs before it becomes a reader: at least the
+# After its start a VM waits for digests of other VMs before it becomes a reader: at least the
 # minimum, plus a part of the spread that grows with its rank. When all VMs start together, the VMs
 # of the first ranks are thus readers before the others check. The spread is longer at the first
 # start of the fleet, when there are no callers yet.
@@ -117,9 +120,9 @@
         rows = tuple(self.row_cache.rows_after(table, revision))
         return TableRows(table, self.row_cache.position(table), rows)
 
-    def check_positions(self, heartbeat: Heartbeat) -> None:
+    def check_positions(self, digest: StateDigest) -> None:
         """Request a fetch if another VM has a newer position in a table than this one."""
-        for table, revision in heartbeat.positions:
+        for table, revision in digest.positions:
             if revision > self.row_cache.position(table):
                 self.newer_position_reported.set()
                 return
@@ -154,8 +157,7 @@
                 )
 
     def _update_reader_role(self) -> None:
-        live = self.membership.live_heartbeats(self.clock.now_ms())
-        readers = choose_readers(live, self.membership.vm, self.store_available)
+        readers = choose_readers(self.membership.live, self.membership.vm, self.store_available)
         is_reader = self.membership.vm in readers
         if is_reader != self.is_reader:
             logger.info(
@@ -238,7 +240,7 @@
             )
 
     async def _fetch_newer_rows(self) -> None:
-        """Fetch rows from other VMs whenever a heartbeat reports a newer position."""
+        """Fetch rows from other VMs whenever a digest reports a newer position."""
         while True:
             await self.newer_position_reported.wait()
             self.newer_position_reported = anyio.Event()
@@ -250,8 +252,11 @@
 
     def _find_newer_positions(self) -> dict[str, int]:
         newest: dict[str, int] = {}
-        for heartbeat in self.membership.live_heartbeats(self.clock.now_ms()):
-            for table, revision in heartbeat.positions:
+        now_ms = self.clock.now_ms()
+        for source in self.membership.sources.values():
+            if now_ms - source.received_ms >= LISTED_TIMEOUT_MS:
+                continue
+            for table, revision in source.positions.items():
                 if revision > self.row_cache.position(table):
                     newest[table] = max(revision, newest.get(table, 0))
         return newest
@@ -259,12 +264,12 @@
     async def _fetch_from_peers(self, table: str, revision: int) -> None:
         """Fetch rows up to a revision from another VM, or from the store if no VM sends them."""
         position = Position(table, self.row_cache.position(table))
-        live = self.membership.live_heartbeats(self.clock.now_ms())
-        for heartbeat in rank_row_sources(live, table, revision, self.membership)[:2]:
-            fetched = await fetch_rows(self.client, heartbeat.host, self.peer_port, position)
+        sources = rank_row_sources(table, revision, self.membership, self.clock.now_ms())
+        for member in sources[:MAX_ROW_SOURCES]:
+            fetched = await fetch_rows(self.client, member.host, self.peer_port, position)
             if fetched is None:
                 continue
-            self.apply_rows(fetched.rows, heartbeat.vm)
+            self.apply_rows(fetched.rows, member.vm)
             self.row_cache.advance_position(table, fetched.position)
             return
         logger.info("no VM returned table {} up to revision {}; reading the store", table, revision)
--- a/packages/berylbankd/src/berylbankd/_internal/models/deployment.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/deployment.py
@@ -38,7 +38,7 @@
     """One VM's identity, location, addresses and resources.
 
     The addresses are IP:port. ``host`` is this VM's own IP address. ``regions`` maps every failure
-    domain to its region. ``peer_port`` serves other VMs, over UDP for heartbeats and TCP for rows.
+    domain to its region. ``peer_port`` serves other VMs, over UDP for digests and TCP for rows.
     ``seed_hosts`` are IP addresses of VMs that may be running. ``first_start`` tells that the whole
     fleet starts for the first time.
     """
--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -1,6 +1,11 @@
 """Cap'n Proto codec for the messages between VMs."""
 
-from collections.abc import Callable
+import math
+import socket
+import sys
+import zlib
+from array import array
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -10,32 +15,29 @@
 from berylbankd._internal.models.rows import Row, RowKey
 from berylbankd._internal.peers.messages import (
     Datagram,
-    Heartbeat,
-    NamedAmount,
+    DigestScope,
+    DomainMembers,
+    Member,
     Position,
+    RegionSums,
     ReleaseReport,
     RouteEvidence,
+    StateDigest,
     TableRows,
     TokenGrant,
     TokenRequest,
 )
 
-PROTOCOL_VERSION = 2
-DECODE_ERRORS = (capnp.KjException, UnicodeDecodeError, ValueError, KeyError)
-
-_schema = capnp.load(str(Path(__file__).with_name("heartbeat.capnp")))
-# Fields with the same name in the schema and in :class:`Heartbeat`.
-_SAME_NAME_FIELDS = (
-    "vm",
-    "incarnation",
-    "sequence",
-    "host",
-    "callers",
-    "region",
-    "ready",
-    "leaving",
-    "reading",
-)
+PROTOCOL_VERSION = 3
+DECODE_ERRORS = (capnp.KjException, UnicodeDecodeError, ValueError, KeyError, zlib.error)
+# Rows are text with many repeated words, so the fastest level already takes most of their size.
+ROWS_COMPRESSION_LEVEL = 1
+# Longest decompressed rows that are accepted from another VM.
+MAX_ROWS_BYTES = 16_777_216
+
+_schema = capnp.load(str(Path(__file__).with_name("datagrams.capnp")))
+# Fields with the same name in the schema and in :class:`StateDigest`.
+_SAME_NAME_FIELDS = ("vm", "host", "incarnation", "sequence")
 
 
 def encode_datagram(datagram: Datagram) -> bytes:
@@ -75,7 +77,7 @@
         ],
     )
     data: bytes = message.to_bytes_packed()
-    return data
+    return zlib.compress(data, ROWS_COMPRESSION_LEVEL)
 
 
 def decode_rows(data: bytes) -> TableRows:
@@ -84,7 +86,8 @@
     :raises ProtocolError: for data that cannot be decoded.
     """
     try:
-        message = _schema.Rows.from_bytes_packed(data)
+        decompressor = zlib.decompressobj()
+        message = _schema.Rows.from_bytes_packed(decompressor.decompress(data, MAX_ROWS_BYTES))
         rows = tuple(_decode_row(message.table, item) for item in message.rows)
         return TableRows(message.table, message.position, rows)
     except DECODE_ERRORS as error:
@@ -93,42 +96,117 @@
 
 def _encode_union_member(datagram: Datagram) -> tuple[str, dict[str, Any]]:
     """Return the name of a datagram's member in the schema's union, and the member's fields."""
-    if isinstance(datagram, Heartbeat):
-        return "heartbeat", _encode_heartbeat(datagram)
+    if isinstance(datagram, StateDigest):
+        return "digest", _encode_digest(datagram)
     if isinstance(datagram, TokenRequest):
         return "tokenAsk", datagram._asdict()
     return "tokenGrant", datagram._asdict()
 
 
-def _encode_heartbeat(heartbeat: Heartbeat) -> dict[str, Any]:
+def _encode_digest(digest: StateDigest) -> dict[str, Any]:
+    return {
+        "scope": int(digest.scope),
+        "failureDomain": digest.failure_domain,
+        "positions": [position._asdict() for position in digest.positions],
+        "domains": [
+            {
+                "failureDomain": domain.failure_domain,
+                "members": [_encode_member(member) for member in domain.members],
+            }
+            for domain in digest.domains
+        ],
+        "liveDomains": list(digest.live_domains),
+        "loads": _encode_amounts(digest.loads),
+        "regions": [
+            {
+                "region": sums.region,
+                "demands": _encode_amounts(sums.demands),
+                "organisations": _encode_amounts(sums.organisations),
+            }
+            for sums in digest.regions
+        ],
+        "releases": [_encode_release(report) for report in digest.releases],
+        "hosts": list(digest.hosts),
+        "ageMs": digest.age_ms,
+        **{name: getattr(digest, name) for name in _SAME_NAME_FIELDS},
+    }
+
+
+def _encode_member(member: Member) -> dict[str, Any]:
     return {
-        "failureDomain": heartbeat.failure_domain,
-        "positions": [position._asdict() for position in heartbeat.positions],
-        "hosts": list(heartbeat.hosts),
-        "demands": [item._asdict() for item in heartbeat.demands],
-        "organisations": [item._asdict() for item in heartbeat.organisations],
-        "loads": [item._asdict() for item in heartbeat.loads],
-        "releases": [_encode_release(report) for report in heartbeat.releases],
-        **{name: getattr(heartbeat, name) for name in _SAME_NAME_FIELDS},
+        "vm": member.vm,
+        "host": member.host,
+        # The address for callers has the VM's own host.
+        "callerPort": int(member.callers.rpartition(":")[2]),
+        "incarnation": member.incarnation,
+        "sequence": member.sequence,
+        "capacity": member.capacity,
+        "ready": member.ready,
+        "leaving": member.leaving,
+        "reading": member.reading,
     }
 
 
-def _decode_heartbeat(message: Any) -> Heartbeat:
-    heartbeat = message.heartbeat
-    return Heartbeat(
-        **{name: getattr(heartbeat, name) for name in _SAME_NAME_FIELDS},
-        failure_domain=heartbeat.failureDomain,
+def _decode_digest(message: Any) -> StateDigest:
+    digest = message.digest
+    return StateDigest(
+        **{name: getattr(digest, name) for name in _SAME_NAME_FIELDS},
+        scope=DigestScope(digest.scope),
+        failure_domain=digest.failureDomain,
         positions=tuple(
-            Position(position.table, position.revision) for position in heartbeat.positions
+            Position(position.table, position.revision) for position in digest.positions
+        ),
+        domains=tuple(_decode_domain(domain) for domain in digest.domains),
+        live_domains=tuple(digest.liveDomains),
+        loads=_decode_amounts(digest.loads),
+        regions=tuple(
+            RegionSums(
+                sums.region, _decode_amounts(sums.demands), _decode_amounts(sums.organisations)
+            )
+            for sums in digest.regions
         ),
-        hosts=tuple(heartbeat.hosts),
-        demands=_decode_amounts(heartbeat.demands),
-        organisations=_decode_amounts(heartbeat.organisations),
-        loads=_decode_amounts(heartbeat.loads),
-        releases=tuple(_decode_release(item) for item in heartbeat.releases),
+        releases=tuple(_decode_release(item) for item in digest.releases),
+        hosts=tuple(_require_host(host) for host in digest.hosts),
+        age_ms=digest.ageMs,
     )
 
 
+def _decode_domain(domain: Any) -> DomainMembers:
+    failure_domain = domain.failureDomain
+    return DomainMembers(
+        failure_domain,
+        tuple(_decode_member(item, failure_domain) for item in domain.members),
+    )
+
+
+def _decode_member(item: Any, failure_domain: str) -> Member:
+    host = _require_host(item.host)
+    return Member(
+        item.vm,
+        host,
+        f"{host}:{item.callerPort}",
+        failure_domain,
+        item.incarnation,
+        item.sequence,
+        item.capacity,
+        item.ready,
+        item.leaving,
+        item.reading,
+    )
+
+
+def _require_host(host: str) -> str:
+    """Return a host; datagrams must never be sent to something that is no IP address.
+
+    :raises ValueError: if it is no IPv4 address.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        raise ValueError(f"{host!r} is no IPv4 address") from None
+    return host
+
+
 def _decode_token_request(message: Any) -> TokenRequest:
     request = message.tokenAsk
     return TokenRequest(request.organisation, request.tokens, request.requests, request.number)
@@ -140,7 +218,7 @@
 
 
 _DECODERS: dict[str, Callable[[Any], Datagram]] = {
-    "heartbeat": _decode_heartbeat,
+    "digest": _decode_digest,
     "tokenAsk": _decode_token_request,
     "tokenGrant": _decode_token_grant,
 }
@@ -166,8 +244,30 @@
     )
 
 
-def _decode_amounts(items: Any) -> tuple[NamedAmount, ...]:
-    return tuple(NamedAmount(item.name, item.amount) for item in items)
+def _encode_amounts(amounts: Mapping[int, float]) -> dict[str, bytes]:
+    return {
+        "keys": _to_little_endian(array("I", amounts.keys())),
+        "amounts": _to_little_endian(array("f", amounts.values())),
+    }
+
+
+def _decode_amounts(table: Any) -> dict[int, float]:
+    keys, amounts = array("I"), array("f")
+    keys.frombytes(table.keys)
+    amounts.frombytes(table.amounts)
+    if sys.byteorder == "big":
+        keys.byteswap()
+        amounts.byteswap()
+    decoded = dict(zip(keys, amounts, strict=True))
+    if not all(map(math.isfinite, amounts)):
+        raise ValueError("an amount is not finite")
+    return decoded
+
+
+def _to_little_endian(values: "array[int] | array[float]") -> bytes:
+    if sys.byteorder == "big":
+        values.byteswap()
+    return values.tobytes()
 
 
 def _encode_release(report: ReleaseReport) -> dict[str, Any]:
@@ -178,6 +278,7 @@
         "rolledBack": report.rolled_back,
         "elapsedMs": report.elapsed_ms,
         "oldInFlight": report.old_in_flight,
+        "lowestStep": report.lowest_step,
         "evidence": [
             {
                 "route": item.route,
@@ -206,4 +307,5 @@
         report.elapsedMs,
         report.oldInFlight,
         evidence,
+        report.lowestStep,
     )
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -3,18 +3,14 @@
 Field names are part of the encoding: the codec passes them on to the Cap'n Proto schema.
 """
 
+from collections.abc import Mapping
+from enum import IntEnum
+from types import MappingProxyType
 from typing import NamedTuple
 
 from berylbankd._internal.models.rows import Row
 
 
-class NamedAmount(NamedTuple):
-    """An amount for a service, an organisation or a backend server, given by its name."""
-
-    name: str
-    amount: float
-
-
 class RouteEvidence(NamedTuple):
     """Responses that one VM received on one route since a release began.
 
@@ -30,10 +26,11 @@
 
 
 class ReleaseReport(NamedTuple):
-    """One VM's view of a release.
+    """What one VM, or several VMs together, know of a release.
 
-    ``revision`` identifies the release order. ``elapsed_ms`` is the time since the first VM learned
-    of the order. ``old_in_flight`` counts the sender's unfinished requests on the old version.
+    ``revision`` identifies the release order. ``step`` is the highest step of any of the VMs, and
+    ``lowest_step`` the lowest one. ``elapsed_ms`` is the time since the first VM learned of the
+    order. ``old_in_flight`` counts unfinished requests on the old version.
     """
 
     service: str
@@ -43,6 +40,7 @@
     elapsed_ms: int
     old_in_flight: int
     evidence: tuple[RouteEvidence, ...]
+    lowest_step: int
 
 
 class Position(NamedTuple):
@@ -60,33 +58,77 @@
     rows: tuple[Row, ...]
 
 
-class Heartbeat(NamedTuple):
-    """One VM's state.
+class Member(NamedTuple):
+    """One VM of the fleet.
 
-    ``callers`` is the address for callers as IP:port. ``ready`` tells whether the VM can serve
-    callers, ``leaving`` whether it is stopping, and ``reading`` whether its last call to the store
-    succeeded. ``demands`` are the slots that the sender's requests use, by service.
-    ``organisations`` are the requests per second in the sender's region, for the organisations
-    whose token buckets the sender owns. ``loads`` are the sender's requests in flight by backend
-    server. ``hosts`` are IP addresses of some other VMs that the sender knows.
+    ``callers`` is the address for callers as IP:port, ``capacity`` the VM's processor cores.
+    ``ready`` tells whether the VM can serve callers, ``leaving`` whether it is stopping, and
+    ``reading`` whether its last call to the store succeeded. ``sequence`` is the number of the
+    digest in which the VM stated this.
     """
 
     vm: str
-    incarnation: int
-    sequence: int
     host: str
     callers: str
-    region: str
     failure_domain: str
+    incarnation: int
+    sequence: int
+    capacity: float
     ready: bool
     leaving: bool
     reading: bool
+
+
+class DomainMembers(NamedTuple):
+    """All live VMs of a failure domain, as the sender knows them."""
+
+    failure_domain: str
+    members: tuple[Member, ...]
+
+
+class RegionSums(NamedTuple):
+    """Amounts of one region, by the hash of the name that they belong to.
+
+    ``demands`` are the slots that requests use, by service. ``organisations`` are the requests per
+    second of organisations, reported by the VMs that own their token buckets.
+    """
+
+    region: str
+    demands: Mapping[int, float]
+    organisations: Mapping[int, float]
+
+
+class DigestScope(IntEnum):
+    """Whose state a digest holds: the sender's, its failure domain's, or the whole fleet's."""
+
+    VM = 0
+    DOMAIN = 1
+    FLEET = 2
+
+
+class StateDigest(NamedTuple):
+    """The state of one VM, or the merged state of several VMs.
+
+    ``positions`` are those of the sender, whatever the scope. ``domains`` lists the members of some
+    failure domains; ``live_domains`` names all failure domains that the sender hears from.
+    ``loads`` are requests in flight by the hash of the backend server's id. ``hosts`` are IP
+    addresses of some other VMs. ``age_ms`` is the age of the oldest part at the time of sending.
+    """
+
+    scope: DigestScope
+    vm: str
+    host: str
+    failure_domain: str
+    incarnation: int
+    sequence: int
     positions: tuple[Position, ...] = ()
-    demands: tuple[NamedAmount, ...] = ()
-    organisations: tuple[NamedAmount, ...] = ()
-    loads: tuple[NamedAmount, ...] = ()
+    domains: tuple[DomainMembers, ...] = ()
+    live_domains: tuple[str, ...] = ()
+    loads: Mapping[int, float] = MappingProxyType({})
+    regions: tuple[RegionSums, ...] = ()
     releases: tuple[ReleaseReport, ...] = ()
     hosts: tuple[str, ...] = ()
+    age_ms: int = 0
 
 
 class TokenRequest(NamedTuple):
@@ -113,4 +155,4 @@
     known: bool = True
 
 
-Datagram = Heartbeat | TokenRequest | TokenGrant
+Datagram = StateDigest | TokenRequest | TokenGrant
--- a/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
@@ -1,9 +1,8 @@
 """Communication between VMs: datagrams over UDP, and rows fetched over HTTP."""
 
 import asyncio
-import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 import anyio
@@ -14,8 +13,8 @@
 from berylbankd._internal.peers.codec import decode_datagram, decode_rows, encode_datagram
 from berylbankd._internal.peers.messages import (
     Datagram,
-    Heartbeat,
     Position,
+    StateDigest,
     TableRows,
     TokenGrant,
     TokenRequest,
@@ -31,8 +30,8 @@
 class PeerMessageHandler(Protocol):
     """Handles messages from other VMs."""
 
-    def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Process a heartbeat."""
+    def handle_digest(self, digest: StateDigest) -> None:
+        """Process a digest."""
 
     def grant_tokens(self, request: TokenRequest) -> TokenGrant:
         """Return the answer to a token request."""
@@ -50,7 +49,7 @@
     """Passes each datagram to a callback as soon as it is received.
 
     Separate tasks for receiving and sending would cost several times the processor time of the
-    messages themselves, in fleets where each VM receives forty heartbeats a second.
+    messages themselves, in fleets where some VMs receive a hundred digests a second.
     """
 
     def __init__(self, on_datagram: Callable[[bytes, str], None]) -> None:
@@ -73,7 +72,7 @@
         self.port = port
         self.handler = handler
         self.udp_transport: asyncio.DatagramTransport | None = None
-        self.request_numbers = itertools.cycle(range(TOKEN_REQUEST_NUMBER_LIMIT))
+        self.last_request_number = 0
         self.pending_requests: dict[int, PendingTokenRequest] = {}
         self.sent_bytes = 0
         self.rejected_datagrams = 0
@@ -88,9 +87,9 @@
         finally:
             self.udp_transport.close()
 
-    def send_heartbeat(self, heartbeat: Heartbeat, hosts: list[str]) -> None:
-        """Send a heartbeat to some VMs; datagrams that cannot be sent are dropped."""
-        data = encode_datagram(heartbeat)
+    def send_digest(self, digest: StateDigest, hosts: Iterable[str]) -> None:
+        """Send a digest to some VMs; datagrams that cannot be sent are dropped."""
+        data = encode_datagram(digest)
         for host in hosts:
             self._send(data, host)
 
@@ -98,7 +97,9 @@
         self, host: str, request: TokenRequest, timeout_s: float
     ) -> TokenGrant | None:
         """Request tokens from a VM; return None if it does not answer within the timeout."""
-        number = next(self.request_numbers)
+        number = self.last_request_number = (
+            self.last_request_number + 1
+        ) % TOKEN_REQUEST_NUMBER_LIMIT
         pending = self.pending_requests[number] = PendingTokenRequest()
         try:
             self._send(encode_datagram(request._replace(number=number)), host)
@@ -116,8 +117,8 @@
             logger.warning("rejected a datagram from another VM: {}", error)
 
     def _handle(self, datagram: Datagram, host: str) -> None:
-        if isinstance(datagram, Heartbeat):
-            self.handler.handle_heartbeat(datagram)
+        if isinstance(datagram, StateDigest):
+            self.handler.handle_digest(datagram)
         elif isinstance(datagram, TokenRequest):
             self._send(encode_datagram(self.handler.grant_tokens(datagram)), host)
         else:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -1,110 +1,391 @@
-"""Tracks the VMs of the fleet by the heartbeats that they send.
+"""Tracks the VMs of the fleet, and assigns the tasks that some VMs have for the others.
 
-VMs can crash, freeze, restart or be partitioned at any moment. A VM counts as live while its
-heartbeats arrive, and a newer incarnation of a VM replaces the older one.
+VMs can crash, freeze, restart or be partitioned at any moment, hundreds at once. A VM counts as
+live while its own digests arrive here, or while a collector lists it. Collectors are two VMs of
+each failure domain that the domain's other VMs report to; they are chosen by a ranking that needs
+no election, so a wrong view costs messages and never a rule.
 """
 
+import math
 from collections.abc import Iterable
 
 from berylbankd._internal.models.deployment import Deployment
-from berylbankd._internal.peers.messages import Heartbeat
+from berylbankd._internal.peers.messages import (
+    DigestScope,
+    Member,
+    Position,
+    StateDigest,
+)
 from berylbankd._internal.steering.placement import hash_to_fraction
 
-HEARTBEAT_INTERVAL_MS = 250
-# Consecutive heartbeats that may be lost before a VM is no longer live.
-MAX_MISSED_HEARTBEATS = 5
+# Interval at which digests are due; see digest_exchange for the intervals of each scope.
+DIGEST_INTERVAL_MS = 250
+# Up to this many VMs every VM sends its state to all others, and there are no collectors.
+FULL_MESH_VMS = 16
+# A VM is no longer heard after this time without a digest of its own, in a full mesh and else.
+FULL_MESH_TIMEOUT_MS = 5 * DIGEST_INTERVAL_MS
+REPORT_TIMEOUT_MS = 1_600
+# A collector that hears nothing at all for this time no longer states who is live. It is shorter,
+# so that the collector does not first drop the VMs that it cannot hear.
+DEAF_TIMEOUT_MS = 1_100
+# A VM that is only known through a collector is no longer live this long after the last digest that
+# listed it. It covers the replacement of a failed collector. Digests of other regions are less
+# frequent.
+LISTED_TIMEOUT_MS = 2_500
+REMOTE_LISTED_TIMEOUT_MS = 3_500
+# A collector that sent nothing for REPORT_TIMEOUT_MS is left out of the ranking for this long, and
+# its successor too if it does not take over within the handover time.
+SUSPICION_MS = 3_000
+HANDOVER_MS = 1_000
+COLLECTORS_PER_DOMAIN = 2
 # A silent VM still counts in the fleet size for this long, as it may only be partitioned.
 FLEET_SIZE_TTL_MS = 20_000
-# Up to this many peers each heartbeat goes to all of them; beyond it, to HEARTBEAT_FAN_OUT of them
-# in rotation.
-FULL_MESH_PEERS = 16
-HEARTBEAT_FAN_OUT = 10
-# Peer hosts listed in each heartbeat, so that VMs discover each other through any one of them.
-HOSTS_PER_HEARTBEAT = 8
+# A VM that has been silent for this long is forgotten.
+FORGET_MS = 120_000
+# Peer hosts listed in each VM's digest in a full mesh, so that VMs discover each other through any
+# one of them.
+HOSTS_PER_DIGEST = 8
+# Digests sent to a host from which nothing was ever heard, before it is given up.
+MAX_HOST_ATTEMPTS = 12
 # Number of VMs that read the store for the whole fleet; the second covers a failure of the first.
 STORE_READER_COUNT = 2
+NEVER_MS = -(10**9)
 
 
-class Peer:
-    """Another VM's latest heartbeat, and when it was received."""
+class KnownMember:
+    """Another VM: its newest state, and when this VM last heard of it.
 
-    def __init__(self, heartbeat: Heartbeat, now_ms: int) -> None:
-        self.heartbeat = heartbeat
+    ``heard_ms`` is the time of its own last digest, ``listed_ms`` of the last one that listed it as
+    live, ``live_ms`` when it was last known to be live.
+    """
+
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        self.heard_ms = NEVER_MS
+        self.listed_ms = NEVER_MS
+        self.live_ms = NEVER_MS
+
+
+class SourcePositions:
+    """The positions that a VM stated in its last digest, and when it arrived."""
+
+    def __init__(self, positions: tuple[Position, ...], now_ms: int) -> None:
+        self.positions = dict(positions)
         self.received_ms = now_ms
 
 
 class Membership:
-    """All VMs from which this VM has received heartbeats.
+    """All other VMs that this VM knows.
 
-    ``hosts`` are the IP addresses of all other VMs that may be running, known from heartbeats,
-    settings or the store.
+    ``hosts`` are the IP addresses of all other VMs that may be running, known from digests,
+    settings or the store. ``lists`` holds the latest lists of each collector that this VM heard, by
+    failure domain. ``full_mesh`` tells that the fleet is small enough for every VM to send
+    its state to all others. ``collectors`` are the VMs that this VM's failure domain reports to,
+    the primary one first. ``leaving`` is set while this VM is stopping. ``hears_others`` is false
+    while nothing arrives from any of the known VMs, so that this VM's view of the fleet is void.
     """
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
         self.vm = deployment.vm
         self.host = deployment.host
-        self.peers: dict[str, Peer] = {}
+        self.known: dict[str, KnownMember] = {}
+        self.sources: dict[str, SourcePositions] = {}
         self.hosts: set[str] = set()
-        self.heartbeat_round = 0
+        self.host_attempts: dict[str, int] = {}
         self.shared_hosts_offset = 0
+        self.lists: dict[str, dict[str, frozenset[str]]] = {}
+        self.live: list[Member] = []
+        self.full_mesh = True
+        self.collectors: list[str] = [deployment.vm]
+        self.suspected_until_ms: dict[str, int] = {}
+        self.primary_heard_ms = 0
+        self.collecting_since_ms: int | None = None
+        self.leaving = False
+        self.received_ms = 0
+        self.hears_others = True
 
-    def record_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
-        """Store a heartbeat unless it is older than the known one; return whether it was stored."""
-        if heartbeat.vm == self.vm:
-            return False
-        known = self.peers.get(heartbeat.vm)
-        version = (heartbeat.incarnation, heartbeat.sequence)
-        if known is not None and version <= (known.heartbeat.incarnation, known.heartbeat.sequence):
-            # The clock may have been set back before a restart, so a lower incarnation of a VM
-            # that has timed out is accepted.
-            restarted = heartbeat.incarnation != known.heartbeat.incarnation
-            if not restarted or now_ms - known.received_ms < self.heartbeat_timeout_ms():
-                return False
-        self.peers[heartbeat.vm] = Peer(heartbeat, now_ms)
-        self.hosts.update((heartbeat.host, *heartbeat.hosts))
-        self.hosts.discard(self.host)
-        return True
+    # Digests of other VMs
 
-    def next_shared_hosts(self) -> tuple[str, ...]:
-        """Return hosts to include in the next heartbeat, rotating through all known hosts."""
-        hosts = sorted(self.hosts)
-        self.shared_hosts_offset += HOSTS_PER_HEARTBEAT
-        start = self.shared_hosts_offset % max(1, len(hosts))
-        return tuple((hosts + hosts)[start : start + min(HOSTS_PER_HEARTBEAT, len(hosts))])
+    def record_digest(self, digest: StateDigest, now_ms: int, *, accepted: bool = True) -> bool:
+        """Learn the members that a digest names; return whether its sender has just appeared.
 
-    def heartbeat_timeout_ms(self) -> int:
-        """Return how long a VM may be silent before it is no longer live."""
-        rounds = (
-            1 if len(self.peers) <= FULL_MESH_PEERS else -(-len(self.peers) // HEARTBEAT_FAN_OUT)
-        )
-        return HEARTBEAT_INTERVAL_MS * MAX_MISSED_HEARTBEATS + HEARTBEAT_INTERVAL_MS * 2 * (
-            rounds - 1
+        ``accepted`` is false for a collector's digest while another collector's is used. Its lists
+        then add members and remove none, as two collectors that disagree must not make the lists
+        change back and forth.
+        """
+        known = self.known.get(digest.vm)
+        has_appeared = (
+            known is None
+            or known.member.incarnation != digest.incarnation
+            or not self.is_live(known, now_ms)
         )
+        self.received_ms = now_ms
+        self.sources[digest.vm] = SourcePositions(digest.positions, now_ms)
+        if digest.scope is DigestScope.VM:
+            self._record_introductions(digest, now_ms)
+        else:
+            lists = self.lists.setdefault(digest.vm, {})
+            for domain in digest.domains:
+                lists[domain.failure_domain] = frozenset(item.vm for item in domain.members)
+            if accepted:
+                self._record_lists(digest, now_ms)
+            else:
+                self._add_members(digest, now_ms)
+            sender = self.known.get(digest.vm)
+            if sender is not None:
+                sender.heard_ms = sender.live_ms = now_ms
+            if digest.scope is DigestScope.FLEET and digest.vm == self.collectors[0]:
+                self.primary_heard_ms = now_ms
+        self.hosts.update(digest.hosts)
+        self.hosts.add(digest.host)
+        self.hosts.discard(self.host)
+        return has_appeared
 
-    def live_heartbeats(self, now_ms: int) -> list[Heartbeat]:
-        """Return the latest heartbeats of the other live VMs."""
-        timeout_ms = self.heartbeat_timeout_ms()
-        return [
-            peer.heartbeat for peer in self.peers.values() if now_ms - peer.received_ms < timeout_ms
-        ]
+    def is_newer(self, digest: StateDigest, now_ms: int) -> bool:
+        """Tell whether a digest is no older than what is known of its sender.
+
+        A VM's clock may have been set back before it restarted, so a lower incarnation is accepted
+        from a VM that has not been heard for some time.
+        """
+        known = self.known.get(digest.vm)
+        if known is None or digest.incarnation > known.member.incarnation:
+            return True
+        if digest.incarnation < known.member.incarnation:
+            return not self._is_heard(known, now_ms)
+        return digest.sequence >= known.member.sequence or digest.scope is not DigestScope.VM
+
+    def _record_member(self, member: Member, now_ms: int, *, heard: bool) -> None:
+        if member.vm == self.vm:
+            return
+        known = self.known.get(member.vm)
+        if known is None:
+            known = self.known[member.vm] = KnownMember(member)
+        version = (member.incarnation, member.sequence)
+        known_version = (known.member.incarnation, known.member.sequence)
+        # Versions go back when a VM's clock was set back before it restarted.
+        if version >= known_version or not self._is_heard(known, now_ms):
+            known.member = member
+        if heard:
+            known.heard_ms = now_ms
+        else:
+            known.listed_ms = now_ms
+        known.live_ms = now_ms
+        self.hosts.add(member.host)
+        self.host_attempts.pop(member.host, None)
+
+    def _record_introductions(self, digest: StateDigest, now_ms: int) -> None:
+        """Learn a VM's state and the other VMs that it names.
+
+        Known VMs that are silent count as live only if this VM has lost sight of most of the fleet:
+        the sender may not have noticed yet that they failed.
+        """
+        has_lost_sight = 2 * len(self.live) < len(self.known)
+        for domain in digest.domains:
+            for member in domain.members:
+                heard = member.vm == digest.vm
+                if heard or has_lost_sight or member.vm not in self.known:
+                    self._record_member(member, now_ms, heard=heard)
+
+    def _add_members(self, digest: StateDigest, now_ms: int) -> None:
+        """Learn members from a collector whose lists are not used now.
+
+        Of the fleet only unknown ones are added: two collectors would otherwise keep a dead VM
+        alive by listing it to each other.
+        """
+        for domain in digest.domains:
+            for member in domain.members:
+                if digest.scope is DigestScope.DOMAIN or member.vm not in self.known:
+                    self._record_member(member, now_ms, heard=False)
+
+    def _record_lists(self, digest: StateDigest, now_ms: int) -> None:
+        """Learn which VMs a collector knows to be live, in its own domain or in the fleet."""
+        for domain in digest.domains:
+            for member in domain.members:
+                self._record_member(member, now_ms, heard=False)
+        lists = self.lists.get(digest.vm, {})
+        live_domains = set(digest.live_domains)
+        for vm, known in self.known.items():
+            listed = lists.get(known.member.failure_domain)
+            if listed is None:
+                continue
+            if vm in listed and known.member.failure_domain in live_domains:
+                known.listed_ms = known.live_ms = now_ms
+            else:
+                known.listed_ms = NEVER_MS
+
+    # Who is live
+
+    def is_live(self, known: KnownMember, now_ms: int) -> bool:
+        """Tell whether another VM is live."""
+        region = self.deployment.regions.get(known.member.failure_domain)
+        is_remote = region != self.deployment.region
+        timeout_ms = REMOTE_LISTED_TIMEOUT_MS if is_remote else LISTED_TIMEOUT_MS
+        return now_ms - known.listed_ms < timeout_ms or self._is_heard(known, now_ms)
+
+    def _is_heard(self, known: KnownMember, now_ms: int) -> bool:
+        return now_ms - known.heard_ms < self.report_timeout_ms()
+
+    def update(self, now_ms: int) -> None:
+        """Update the live members and the collectors of this VM's failure domain."""
+        self.full_mesh = self.fleet_size(now_ms) <= FULL_MESH_VMS
+        self.hears_others = not self.known or now_ms - self.received_ms < DEAF_TIMEOUT_MS
+        self.live = [known.member for known in self.known.values() if self.is_live(known, now_ms)]
+        for known in list(self.known.values()):
+            if now_ms - known.live_ms >= FORGET_MS:
+                del self.known[known.member.vm]
+                self.sources.pop(known.member.vm, None)
+                self.lists.pop(known.member.vm, None)
+        self._update_collectors(now_ms)
+
+    def live_members(self) -> list[Member]:
+        """Return the other live VMs, as of the last update."""
+        return self.live
 
     def fleet_size(self, now_ms: int) -> int:
         """Return the number of VMs, including this one and those that fell silent recently."""
         return 1 + sum(
             1
-            for peer in self.peers.values()
-            if now_ms - peer.received_ms < FLEET_SIZE_TTL_MS and not peer.heartbeat.leaving
+            for known in self.known.values()
+            if now_ms - known.live_ms < FLEET_SIZE_TTL_MS and not known.member.leaving
         )
 
-    def next_receivers(self) -> list[str]:
-        """Return the hosts to send the next heartbeat to."""
-        hosts = sorted(self.hosts)
-        self.heartbeat_round += 1
-        if len(hosts) <= FULL_MESH_PEERS:
-            return hosts
-        start = (self.heartbeat_round * HEARTBEAT_FAN_OUT) % len(hosts)
-        return (hosts + hosts)[start : start + HEARTBEAT_FAN_OUT]
+    def report_timeout_ms(self) -> int:
+        """Return after which time without a digest of its own a VM is no longer heard."""
+        return FULL_MESH_TIMEOUT_MS if self.full_mesh else REPORT_TIMEOUT_MS
+
+    def host_of(self, vm: str) -> str | None:
+        """Return the host of a VM, or None if it is not known."""
+        known = self.known.get(vm)
+        return known.member.host if known is not None else None
+
+    # Collectors
+
+    def is_collector(self) -> bool:
+        """Tell whether the VMs of this failure domain report to this VM."""
+        return self.vm in self.collectors
+
+    def is_primary(self) -> bool:
+        """Tell whether this VM sends the state of its failure domain to the other ones."""
+        return self.collectors[0] == self.vm and self.hears_others
+
+    def domain_members(self, failure_domain: str) -> list[Member]:
+        """Return the other live VMs of a failure domain."""
+        return [item for item in self.live if item.failure_domain == failure_domain]
+
+    def heard_members(self, now_ms: int) -> list[Member]:
+        """Return the other live VMs of this VM's domain, as it states them as a collector.
+
+        Once they have had time to report, only those that this VM hears itself are live.
+        """
+        members = self.domain_members(self.deployment.failure_domain)
+        if self.collecting_since_ms is None or (
+            now_ms - self.collecting_since_ms < REPORT_TIMEOUT_MS
+        ):
+            return members
+        return [item for item in members if self._is_heard(self.known[item.vm], now_ms)]
+
+    def collectors_of(self, failure_domain: str) -> list[Member]:
+        """Return the collectors of another failure domain."""
+        members = [item for item in self.domain_members(failure_domain) if not item.leaving]
+        return rank_collectors(members)[:COLLECTORS_PER_DOMAIN]
+
+    def recent_collectors_of(self, failure_domain: str, now_ms: int) -> list[Member]:
+        """Return a domain's collectors, or the last ones if no VM of it is live any more.
+
+        A VM that has just become a collector hears of the other domains only once it has sent them
+        a digest.
+        """
+        recent = [
+            known.member
+            for known in self.known.values()
+            if known.member.failure_domain == failure_domain
+            and not known.member.leaving
+            and now_ms - known.live_ms < FLEET_SIZE_TTL_MS
+        ]
+        return self.collectors_of(failure_domain) or rank_collectors(recent)[:COLLECTORS_PER_DOMAIN]
+
+    def _update_collectors(self, now_ms: int) -> None:
+        self._suspect_silent_primary(now_ms)
+        own = Member(
+            self.vm, self.host, "", self.deployment.failure_domain, 0, 0, self.deployment.cores,
+            True, False, True,
+        )  # fmt: skip
+        candidates = [] if self.leaving else [own]
+        candidates += [
+            item
+            for item in self.domain_members(self.deployment.failure_domain)
+            if not item.leaving and now_ms >= self.suspected_until_ms.get(item.vm, 0)
+        ]
+        ranked = rank_collectors(candidates or [own])
+        collectors = [item.vm for item in ranked[:COLLECTORS_PER_DOMAIN]]
+        if collectors[0] != self.collectors[0]:
+            self.primary_heard_ms = now_ms - REPORT_TIMEOUT_MS + HANDOVER_MS
+        self.collectors = collectors
+        if not self.is_collector():
+            self.collecting_since_ms = None
+        elif self.collecting_since_ms is None:
+            self.collecting_since_ms = now_ms
+
+    def _suspect_silent_primary(self, now_ms: int) -> None:
+        primary = self.collectors[0]
+        if primary == self.vm or self.full_mesh:
+            self.primary_heard_ms = now_ms
+        elif now_ms - self.primary_heard_ms >= REPORT_TIMEOUT_MS:
+            self.suspected_until_ms[primary] = now_ms + SUSPICION_MS
+
+    def report_receivers(self, now_ms: int) -> list[str]:
+        """Return the VMs that this VM reports to: its collectors, and those that it suspects."""
+        receivers = [*self.collectors]
+        receivers += [vm for vm, until_ms in self.suspected_until_ms.items() if now_ms < until_ms]
+        if not self.hears_others:
+            # The others may still hear this VM.
+            recent = self.recent_collectors_of(self.deployment.failure_domain, now_ms)
+            receivers += [member.vm for member in recent]
+        return [vm for vm in dict.fromkeys(receivers) if vm != self.vm]
+
+    # Hosts
+
+    def next_shared_hosts(self) -> tuple[str, ...]:
+        """Return hosts of live VMs for the next digest, rotating through all of them."""
+        hosts = sorted(member.host for member in self.live)
+        self.shared_hosts_offset += HOSTS_PER_DIGEST
+        start = self.shared_hosts_offset % max(1, len(hosts))
+        return tuple((hosts + hosts)[start : start + min(HOSTS_PER_DIGEST, len(hosts))])
+
+    def take_unheard_hosts(self, count: int) -> list[str]:
+        """Return hosts from which nothing was heard yet; each is given up after some attempts."""
+        known_hosts = {known.member.host for known in self.known.values()}
+        unheard = sorted(
+            self.hosts - known_hosts, key=lambda host: self.host_attempts.get(host, 0)
+        )[:count]
+        for host in unheard:
+            attempts = self.host_attempts[host] = self.host_attempts.get(host, 0) + 1
+            if attempts >= MAX_HOST_ATTEMPTS:
+                self.hosts.discard(host)
+                del self.host_attempts[host]
+        return unheard
+
+    def silent_hosts(self, now_ms: int) -> list[str]:
+        """Return the hosts of known VMs that are silent, which may only be partitioned."""
+        return sorted(
+            known.member.host
+            for known in self.known.values()
+            if not known.member.leaving and not self.is_live(known, now_ms)
+        )
+
+
+def rank_collectors(members: Iterable[Member]) -> list[Member]:
+    """Rank the VMs of a failure domain as collectors, the same on all VMs.
+
+    A VM with more processor cores ranks first more often, in proportion to its cores.
+    """
+
+    def sort_key(member: Member) -> tuple[float, str]:
+        fraction = max(hash_to_fraction("collector", member.vm), 1e-12)
+        return -math.log(fraction) / max(member.capacity, 0.01), member.vm
+
+    return sorted(members, key=sort_key)
 
 
 def compute_reader_rank(vm: str) -> float:
@@ -112,17 +393,13 @@
     return hash_to_fraction("reader", vm)
 
 
-def choose_readers(
-    live_heartbeats: Iterable[Heartbeat], vm: str, store_available: bool
-) -> set[str]:
+def choose_readers(live_members: Iterable[Member], vm: str, store_available: bool) -> set[str]:
     """Return the VMs that read the store, by a ranking that is the same on all VMs.
 
     A VM that gets no answer from the store is left out of the ranking while a peer can read it. It
     keeps trying to read the store in any case.
     """
-    candidates = [
-        heartbeat.vm for heartbeat in live_heartbeats if heartbeat.reading and not heartbeat.leaving
-    ]
+    candidates = [member.vm for member in live_members if member.reading and not member.leaving]
     if store_available or not candidates:
         candidates.append(vm)
     ranked = sorted(candidates, key=compute_reader_rank)
@@ -131,26 +408,23 @@
 
 
 def rank_row_sources(
-    live_heartbeats: Iterable[Heartbeat], table: str, revision: int, membership: Membership
-) -> list[Heartbeat]:
-    """Return the VMs that hold a table up to a revision, nearest first."""
+    table: str, revision: int, membership: Membership, now_ms: int
+) -> list[Member]:
+    """Return the VMs heard recently that hold a table up to a revision, nearest first."""
     deployment = membership.deployment
 
-    def sort_key(heartbeat: Heartbeat) -> tuple[bool, bool, float]:
+    def sort_key(member: Member) -> tuple[bool, bool, float]:
         return (
-            heartbeat.failure_domain != deployment.failure_domain,
-            heartbeat.region != deployment.region,
-            hash_to_fraction(membership.vm, heartbeat.vm),
+            member.failure_domain != deployment.failure_domain,
+            deployment.regions.get(member.failure_domain) != deployment.region,
+            hash_to_fraction(membership.vm, member.vm),
         )
 
     sources = [
-        heartbeat for heartbeat in live_heartbeats if _has_revision(heartbeat, table, revision)
+        membership.known[vm].member
+        for vm, source in membership.sources.items()
+        if vm in membership.known
+        and now_ms - source.received_ms < LISTED_TIMEOUT_MS
+        and source.positions.get(table, 0) >= revision
     ]
     return sorted(sources, key=sort_key)
-
-
-def _has_revision(heartbeat: Heartbeat, table: str, revision: int) -> bool:
-    return any(
-        position.table == table and position.revision >= revision
-        for position in heartbeat.positions
-    )
--- a/packages/berylbankd/src/berylbankd/_internal/steering/quota_coordinator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/quota_coordinator.py
@@ -4,20 +4,29 @@
 for each organisation, so that they agree on the owner without exchanging messages.
 """
 
-from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
 
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.models.types import Configuration
-from berylbankd._internal.peers.messages import Heartbeat, TokenGrant, TokenRequest
+from berylbankd._internal.peers.messages import TokenGrant, TokenRequest
+from berylbankd._internal.steering.fleet_sums import hash_name
 from berylbankd._internal.steering.quotas import QuotaManager, rank_owners
 
 
+class FleetView(NamedTuple):
+    """How many VMs are live, how many are known with those that fell silent, and their regions."""
+
+    live_vms: int
+    known_vms: int
+    regions: int
+
+
 class QuotaCoordinator:
     """Ownership of token buckets as one VM sees it.
 
     ``advertised_demand`` is this region's demand for the organisations that this VM owns, as sent
-    in the last heartbeat.
+    in the last digest.
     """
 
     def __init__(self, deployment: Deployment, now_ms: int) -> None:
@@ -60,30 +69,31 @@
     def update(
         self,
         configuration: Configuration | None,
-        heartbeats: Iterable[Heartbeat],
-        known_vms: int,
+        peer_demand: Mapping[str, Mapping[int, float]],
+        fleet: FleetView,
         now_ms: int,
     ) -> None:
-        """Update the regional shares from the reports of live VMs, and this VM's own buckets.
+        """Update the regional shares from the reports of other VMs, and this VM's own buckets.
 
-        ``known_vms`` includes VMs that fell silent recently.
+        ``peer_demand`` is by region and by the hash of the organisation's name.
         """
-        heartbeats = list(heartbeats)
-        reported_demand: dict[str, dict[str, float]] = defaultdict(dict)
-        peer_demand = ((heartbeat.region, heartbeat.organisations) for heartbeat in heartbeats)
-        for region, demands in [(self.region, self.advertised_demand.items()), *peer_demand]:
-            for name, amount in demands:
-                # Two VMs of a region can both report for a moment when the owner changes.
-                reported_demand[name][region] = max(amount, reported_demand[name].get(region, 0.0))
-        region_count = len({self.region, *(heartbeat.region for heartbeat in heartbeats)})
-        live_vms = 1 + sum(1 for heartbeat in heartbeats if not heartbeat.leaving)
-        self.manager.update_fleet(reported_demand, region_count, live_vms, known_vms, now_ms)
-        if configuration is not None:
-            owned = [
-                organisation
-                for organisation in configuration.organisations
-                if self.owners(organisation.name)[:1] == [self.vm]
-            ]
-            self.manager.update_owned(owned, now_ms)
-        # The other VMs know the demand sent in the previous heartbeat, so this VM uses that too.
+        owned = []
+        reported_demand: dict[str, dict[str, float]] = {}
+        for organisation in configuration.organisations if configuration is not None else ():
+            name = organisation.name
+            if self.owners(name)[:1] == [self.vm]:
+                owned.append(organisation)
+            key = hash_name(name)
+            demands = {
+                region: amounts[key] for region, amounts in peer_demand.items() if key in amounts
+            }
+            own = max(demands.get(self.region, 0.0), self.advertised_demand.get(name, 0.0))
+            if own > 0:
+                demands[self.region] = own
+            reported_demand[name] = demands
+        self.manager.update_fleet(
+            reported_demand, fleet.regions, fleet.live_vms, fleet.known_vms, now_ms
+        )
+        self.manager.update_owned(owned, now_ms)
+        # The other VMs know the demand sent in the previous digest, so this VM uses that too.
         self.advertised_demand = self.manager.demands(now_ms)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -133,14 +133,16 @@
             )
             for route, counts in self.route_counts.items()
         )
+        step = LAST_STEP if self.succeeded else self.step
         return ReleaseReport(
             self.order.service,
             self.order.revision,
-            LAST_STEP if self.succeeded else self.step,
+            step,
             self.rolled_back,
             max(0, self.elapsed_ms(now_ms)),
             self.old_in_flight,
             evidence,
+            step,
         )
 
     def merge_reports(self, reports: Iterable[ReleaseReport], now_ms: int) -> bool:
@@ -195,7 +197,7 @@
         if now_ms - self.step_started_ms < FULL_SHARE_HOLD_MS:
             return False
         reports_on_old_version = [
-            report for report in reports if report.step < LAST_STEP or report.old_in_flight
+            report for report in reports if report.lowest_step < LAST_STEP or report.old_in_flight
         ]
         if not reports_on_old_version and not self.old_in_flight:
             return True
--- a/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
@@ -21,7 +21,7 @@
 
     ``failures`` counts consecutive failed requests, ``ejection_ms`` is how long the next ejection
     lasts. ``missing_since_ms`` is set while the registration is missing after a store outage.
-    ``peers_in_flight`` is the sum of other VMs' heartbeats, ``reported_peer_load`` comes from the
+    ``peers_in_flight`` is the sum of what other VMs report, ``reported_peer_load`` comes from the
     server itself.
     """
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -2,29 +2,26 @@
 
 Nothing here does I/O, and every method is given the current time. The request path calls
 :meth:`Steering.pick` and records the outcome of each dispatch; the peer tasks pass in received
-heartbeats and fetch the ones to send.
+digests and send what :mod:`digest_exchange` makes.
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
 from loguru import logger
 
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.models.types import ReleaseState, Route
-from berylbankd._internal.peers.messages import (
-    Heartbeat,
-    NamedAmount,
-    Position,
-    ReleaseReport,
-)
+from berylbankd._internal.peers.messages import Member, ReleaseReport, StateDigest
+from berylbankd._internal.steering.digest_exchange import DigestExchange, OwnState
+from berylbankd._internal.steering.fleet_sums import FleetSums, hash_name, make_empty_sums
 from berylbankd._internal.steering.membership import Membership
 from berylbankd._internal.steering.picks import Pick, PickRequest
 from berylbankd._internal.steering.placement import (
     PlacementQuery,
     ServerGroup,
 )
-from berylbankd._internal.steering.quota_coordinator import QuotaCoordinator
+from berylbankd._internal.steering.quota_coordinator import FleetView, QuotaCoordinator
 from berylbankd._internal.steering.reachability import DomainReachability
 from berylbankd._internal.steering.region_planner import RegionPlanner
 from berylbankd._internal.steering.releases import BaselineLatency, Release
@@ -46,7 +43,7 @@
 # Latencies are taken in whole milliseconds, so those of a fast server can be 0; several decisions
 # divide by the service time.
 MIN_SERVICE_MS = 1.0
-# Smaller amounts (slots in use, or requests per second) are left out of heartbeats.
+# Smaller amounts (slots in use, or requests per second) are left out of digests.
 MIN_REPORTED_AMOUNT = 0.05
 
 
@@ -68,6 +65,7 @@
         self.incarnation = incarnation
         self.routing_state = RoutingState(row_codec)
         self.membership = Membership(deployment)
+        self.digest_exchange = DigestExchange(deployment, self.membership, incarnation)
         self.quotas = QuotaCoordinator(deployment, now_ms)
         self.region_planner = RegionPlanner(deployment)
         self.retry_budgets: dict[str, RetryBudget] = {}
@@ -80,13 +78,14 @@
         self.arrivals: dict[str, int] = defaultdict(int)
         self.demands: dict[str, float] = {}
         self.service_credits: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
-        self.live_heartbeats: list[Heartbeat] = []
+        self.peer_sums: FleetSums = make_empty_sums()
         self.ready_vms_by_region: dict[str, list[str]] = {}
         self.server_groups: dict[tuple[str, str | None], dict[str, ServerGroup]] = {}
         self.grouped_generation = -1
+        self.server_ids_by_hash: dict[int, str] = {}
+        self.hashed_generation = -1
         self.servers_with_peer_load: set[str] = set()
         self.slow_tick_elapsed_ms = SLOW_TICK_INTERVAL_MS
-        self.sequence = 0
         self.leaving = False
 
     # Requests
@@ -117,7 +116,7 @@
     def record_arrival(self, service: str) -> None:
         """Count a request for a service."""
         self.arrivals[service] += 1
-        self.retry_budget(service).record_request(len(self.live_heartbeats) + 1)
+        self.retry_budget(service).record_request(len(self.membership.live) + 1)
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service on this VM."""
@@ -144,13 +143,11 @@
         """Record an opened connection: the server's failure domain is reachable."""
         self.domain_reachability.record_reached(pick.server.registration.failure_domain)
 
-    def choose_measured_vms(self) -> dict[str, Heartbeat]:
-        """Return the heartbeat of one live VM in each other region, to measure the round trip."""
-        return {
-            heartbeat.region: heartbeat
-            for heartbeat in self.live_heartbeats
-            if heartbeat.region != self.deployment.region
-        }
+    def choose_measured_vms(self) -> dict[str, Member]:
+        """Return one live VM in each other region, to measure the round trip."""
+        by_region = {self._region_of(member): member for member in self.membership.live}
+        by_region.pop(self.deployment.region, None)
+        return by_region
 
     def record_unreachable(self, pick: Pick, now_ms: int) -> None:
         """Record that no connection to a server could be opened."""
@@ -207,73 +204,70 @@
 
     def host_of(self, vm: str) -> str | None:
         """Return the host to which datagrams for a VM are sent, or None for an unknown VM."""
-        peer = self.membership.peers.get(vm)
-        return peer.heartbeat.host if peer is not None else None
+        return self.membership.host_of(vm)
 
     def reload(self, deployment: Deployment) -> None:
         """Apply changed settings."""
         self.deployment = self.region_planner.deployment = deployment
+        self.membership.deployment = self.digest_exchange.deployment = deployment
+        self.quotas.manager.bounds = deployment.bounds
 
     # Other VMs
 
-    def handle_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> None:
-        """Process another VM's heartbeat; its release reports are evaluated at once."""
-        if not self.membership.record_heartbeat(heartbeat, now_ms):
-            return
-        for report in heartbeat.releases:
+    def handle_digest(self, digest: StateDigest, now_ms: int) -> bool:
+        """Process another VM's digest; return whether the VM must get an answer at once.
+
+        Its release reports are evaluated at once.
+        """
+        must_answer = self.digest_exchange.receive(digest, now_ms)
+        for report in digest.releases:
             release = self.releases.get(report.service)
-            if release is not None and release.order.revision == report.revision:
-                if release.merge_reports([report], now_ms):
-                    logger.info(
-                        "release of service {}: step now {}, rolled back {}, reported by VM {}",
-                        report.service,
-                        release.step,
-                        release.rolled_back,
-                        heartbeat.vm,
-                    )
+            if release is None or release.order.revision != report.revision:
+                continue
+            if release.merge_reports([report], now_ms):
+                logger.info(
+                    "release of service {}: step now {}, rolled back {}, reported by VM {}",
+                    report.service,
+                    release.step,
+                    release.rolled_back,
+                    digest.vm,
+                )
                 self._evaluate_release(release, now_ms)
+        return must_answer
 
-    def make_heartbeat(
-        self, ready: bool, reading: bool, positions: dict[str, int], now_ms: int
-    ) -> Heartbeat:
-        """Return the next heartbeat of this VM."""
-        self.sequence += 1
-        deployment = self.deployment
-        organisations = (
-            NamedAmount(name, amount) for name, amount in self.quotas.advertised_demand.items()
-        )
-        return Heartbeat(
-            deployment.vm,
-            self.incarnation,
-            self.sequence,
-            deployment.host,
-            deployment.caller_address,
-            deployment.region,
-            deployment.failure_domain,
+    def make_own_state(
+        self, ready: bool, reading: bool, positions: Mapping[str, int], now_ms: int
+    ) -> OwnState:
+        """Return what this VM tells the others of itself."""
+        return OwnState(
             ready,
             self.leaving,
             reading,
-            tuple(Position(table, revision) for table, revision in positions.items()),
-            _reportable(NamedAmount(name, amount) for name, amount in self.demands.items()),
-            _reportable(organisations),
-            tuple(
-                NamedAmount(server_id, state.in_flight)
+            positions,
+            {
+                hash_name(server_id): state.in_flight
                 for server_id, state in self.routing_state.servers.items()
                 if state.in_flight
-            ),
+            },
+            _hash_reportable(self.demands),
+            _hash_reportable(self.quotas.advertised_demand),
             tuple(release.make_report(now_ms) for release in self.releases.values()),
-            self.membership.next_shared_hosts(),
         )
 
     def tick(self, elapsed_ms: int, now_ms: int) -> None:
         """Update peer load, quotas and releases, and less often demands and region splits."""
-        self.live_heartbeats = self.membership.live_heartbeats(now_ms)
+        self.membership.leaving = self.leaving
+        self.membership.update(now_ms)
+        self.peer_sums = self.digest_exchange.sums_of_others(now_ms)
         self.ready_vms_by_region = self._group_ready_vms()
         self.quotas.set_region_vms(
             self.ready_vms_by_region.get(self.deployment.region, [self.deployment.vm])
         )
-        self._update_peer_load(now_ms)
+        self._update_peer_load()
+        self._update_quotas(now_ms)
         self.sync_releases(now_ms)
+        for release in self.releases.values():
+            self._evaluate_release(release, now_ms)
         self.slow_tick_elapsed_ms += elapsed_ms
         if self.slow_tick_elapsed_ms >= SLOW_TICK_INTERVAL_MS:
             self._slow_tick(self.slow_tick_elapsed_ms, now_ms)
@@ -308,21 +302,15 @@
                 release.rolled_back = True
 
     def collect_peer_reports(self, release: Release) -> list[ReleaseReport]:
-        """Return the reports of live VMs on a release."""
-        order = release.order
-        return [
-            report
-            for heartbeat in self.live_heartbeats
-            for report in heartbeat.releases
-            if report.service == order.service and report.revision == order.revision
-        ]
+        """Return what the other live VMs report on a release."""
+        key = (release.order.service, release.order.revision)
+        report = self.peer_sums.releases.get(key)
+        return [report] if report is not None else []
 
     def is_release_driver(self, service: str) -> bool:
         """Tell whether this VM advances a service's release and writes its status."""
         names = [
-            heartbeat.vm
-            for heartbeat in self.live_heartbeats
-            if heartbeat.reading and not heartbeat.leaving
+            member.vm for member in self.membership.live if member.reading and not member.leaving
         ]
         return find_owner(service, [*names, self.deployment.vm]) == self.deployment.vm
 
@@ -412,14 +400,17 @@
             bucket = self.cold_server_buckets[state.registration.id] = ColdServerBucket(now_ms)
         return bucket.take(service.warmup_per_s, now_ms)
 
+    def _region_of(self, member: Member) -> str:
+        return self.deployment.regions.get(member.failure_domain, "")
+
     def _group_ready_vms(self) -> dict[str, list[str]]:
         vms_by_region: dict[str, list[str]] = {}
         if not self.leaving:
             vms_by_region[self.deployment.region] = [self.deployment.vm]
-        for heartbeat in sorted(self.live_heartbeats, key=lambda heartbeat: heartbeat.vm):
-            if heartbeat.ready and not heartbeat.leaving:
-                vms_by_region.setdefault(heartbeat.region, []).append(heartbeat.vm)
-        return vms_by_region
+        for member in self.membership.live:
+            if member.ready and not member.leaving:
+                vms_by_region.setdefault(self._region_of(member), []).append(member.vm)
+        return {region: sorted(vms) for region, vms in vms_by_region.items()}
 
     def _update_demands(self, elapsed_ms: int) -> None:
         for service in set(self.arrivals) | set(self.demands):
@@ -428,29 +419,49 @@
             mean = self.demands.get(service, demand)
             self.demands[service] = mean + DEMAND_WEIGHT * (demand - mean)
 
-    def _update_peer_load(self, now_ms: int) -> None:
-        by_server: dict[str, float] = defaultdict(float)
-        for heartbeat in self.live_heartbeats:
-            for item in heartbeat.loads:
-                by_server[item.name] += item.amount
+    def _update_peer_load(self) -> None:
+        if self.hashed_generation != self.routing_state.generation:
+            self.hashed_generation = self.routing_state.generation
+            self.server_ids_by_hash = {
+                hash_name(server_id): server_id for server_id in self.routing_state.servers
+            }
+        by_server = {
+            self.server_ids_by_hash[key]: amount
+            for key, amount in self.peer_sums.loads.items()
+            if key in self.server_ids_by_hash
+        }
         for server_id in self.servers_with_peer_load | by_server.keys():
             state = self.routing_state.servers.get(server_id)
             if state is not None:
                 state.peers_in_flight = round(by_server.get(server_id, 0))
         self.servers_with_peer_load = set(by_server)
-        known_vms = self.membership.fleet_size(now_ms)
+
+    def _update_quotas(self, now_ms: int) -> None:
+        fleet = FleetView(
+            len(self.membership.live) + 1 - sum(item.leaving for item in self.membership.live),
+            self.membership.fleet_size(now_ms),
+            len({self.deployment.region, *map(self._region_of, self.membership.live)}),
+        )
         self.quotas.update(
-            self.routing_state.configuration, self.live_heartbeats, known_vms, now_ms
+            self.routing_state.configuration, self.peer_sums.organisations, fleet, now_ms
         )
 
     def _demands_by_region(self) -> dict[str, dict[str, float]]:
-        by_region: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
-        by_region[self.deployment.region].update(self.demands)
-        for heartbeat in self.live_heartbeats:
-            for item in heartbeat.demands:
-                by_region[heartbeat.region][item.name] += item.amount
+        services = (
+            self.routing_state.configuration.services
+            if (self.routing_state.configuration is not None)
+            else {}
+        )
+        by_region: dict[str, dict[str, float]] = {self.deployment.region: dict(self.demands)}
+        for region, demands in self.peer_sums.demands.items():
+            total = by_region.setdefault(region, {})
+            for service in services:
+                amount = demands.get(hash_name(service), 0.0)
+                total[service] = total.get(service, 0.0) + amount
         return by_region
 
 
-def _reportable(items: Iterable[NamedAmount]) -> tuple[NamedAmount, ...]:
-    return tuple(item for item in items if item.amount >= MIN_REPORTED_AMOUNT)
+def _hash_reportable(amounts: Mapping[str, float]) -> dict[int, float]:
+    return {
+        hash_name(name): amount for name, amount in amounts.items() if amount >= MIN_REPORTED_AMOUNT
+    }
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -30,7 +30,7 @@
 from berylbankd._internal.metrics import Metrics
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.peers.codec import encode_rows
-from berylbankd._internal.peers.messages import Heartbeat, TokenGrant, TokenRequest
+from berylbankd._internal.peers.messages import StateDigest, TokenGrant, TokenRequest
 from berylbankd._internal.peers.transport import ROWS_PATH, PeerTransport, make_incarnation
 from berylbankd._internal.platform.headers import PlatformHeaderCodec
 from berylbankd._internal.platform.lookups import PlatformLookupCodec
@@ -38,8 +38,9 @@
 from berylbankd._internal.platform.row_codec import PlatformRowCodec
 from berylbankd._internal.platform.settings import load_deployment
 from berylbankd._internal.platform.store import HttpRowStore
+from berylbankd._internal.steering.digest_exchange import OwnState
 from berylbankd._internal.steering.directory import ReadyVm, choose_addresses
-from berylbankd._internal.steering.membership import HEARTBEAT_INTERVAL_MS
+from berylbankd._internal.steering.membership import DIGEST_INTERVAL_MS
 from berylbankd._internal.steering.steering import Steering
 
 # Callers keep the answer of a look-up at most this long, and stop using a VM that is not in the
@@ -54,6 +55,8 @@
 SERVER_CLOSE_TIMEOUT_S = 0.2
 # How often the settings file is checked for changes that no SIGHUP announced.
 SETTINGS_CHECK_INTERVAL_S = 1.0
+# Changes within this time are announced by the same digest.
+URGENT_DIGEST_DELAY_S = 0.02
 RUNNING_REQUESTS_CHECK_INTERVAL_S = 0.05
 # How often idle connections to backend servers are checked for closing.
 IDLE_CHECK_INTERVAL_S = 1.0
@@ -68,7 +71,7 @@
         self.clock = BootClock()
         self.logs = LogWriter(self.deployment.vm)
         self.stop_requested = anyio.Event()
-        self.heartbeat_due = anyio.Event()
+        self.digest_due = anyio.Event()
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
@@ -128,7 +131,7 @@
         group.start_soon(self._watch_signals)
         group.start_soon(self._watch_settings)
         group.start_soon(self.peer_transport.run)
-        group.start_soon(self._send_heartbeats)
+        group.start_soon(self._send_digests)
         group.start_soon(self.row_replicator.run)
         group.start_soon(self.vm_registry.run)
         group.start_soon(self.release_driver.run)
@@ -172,15 +175,16 @@
     def _serve_lookup(self, query: QueryParameters) -> EndpointResponse:
         lookup_query = self.lookup_codec.decode_query(query)
         deployment = self.deployment
-        heartbeats = (
-            heartbeat
-            for heartbeat in self.steering.membership.live_heartbeats(self.clock.now_ms())
-            if heartbeat.ready
-        )
         ready_vms = [
-            ReadyVm(heartbeat.vm, heartbeat.callers, heartbeat.failure_domain, heartbeat.region)
-            for heartbeat in heartbeats
-            if not heartbeat.leaving
+            ReadyVm(
+                member.vm,
+                member.callers,
+                member.failure_domain,
+                deployment.regions.get(member.failure_domain, ""),
+                member.capacity,
+            )
+            for member in self.steering.membership.live
+            if member.ready and not member.leaving
         ]
         if self.is_ready():
             ready_vms.append(
@@ -189,11 +193,16 @@
                     deployment.caller_address,
                     deployment.failure_domain,
                     deployment.region,
+                    deployment.cores,
                 )
             )
         allowed_regions = self.steering.routing_state.allowed_regions(lookup_query.host)
         addresses = choose_addresses(
-            ready_vms, lookup_query.failure_domain, lookup_query.region, allowed_regions
+            ready_vms,
+            lookup_query.failure_domain,
+            lookup_query.region,
+            allowed_regions,
+            deployment.vm,
         )
         self.metrics.lookups.add(1)
         if not addresses:
@@ -218,51 +227,66 @@
         configuration = self.steering.routing_state.configuration
         return self.steering.quotas.grant(request, configuration, self.clock.now_ms())
 
-    def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Process another VM's heartbeat, and fetch rows if the VM has newer ones."""
-        is_known_vm = heartbeat.vm in self.steering.membership.peers
-        self.steering.handle_heartbeat(heartbeat, self.clock.now_ms())
-        if not is_known_vm and heartbeat.vm != self.deployment.vm:
-            # Reply at once to a new VM, so that it knows this VM and the hosts of some others.
-            self._send_heartbeat(self.clock.now_ms(), [heartbeat.host])
-        self.row_replicator.check_positions(heartbeat)
+    def handle_digest(self, digest: StateDigest) -> None:
+        """Process another VM's digest, and fetch rows if the VM has newer ones."""
+        now_ms = self.clock.now_ms()
+        if self.steering.handle_digest(digest, now_ms):
+            # Answer a VM that has just appeared, so that it knows this VM and its collectors.
+            answer = self.steering.digest_exchange.make_answer(
+                self._make_own_state(now_ms), digest.vm, now_ms
+            )
+            if answer is not None:
+                self.peer_transport.send_digest(answer.digest, answer.hosts)
+        if self.steering.digest_exchange.announcement_due:
+            self.digest_due.set()
+        self.row_replicator.check_positions(digest)
 
     def _on_rows_changed(self) -> None:
         self.steering.sync_releases(self.clock.now_ms())
         configuration = self.steering.routing_state.configuration
         if configuration is not None:
             self.caller_server.set_min_keep_alive(configuration.limits.idle_timeout_ms)
-        self.heartbeat_due.set()
-
-    async def _send_heartbeats(self) -> None:
-        """Send heartbeats at an interval with jitter, and at once when rows have changed."""
-        last_ms, live_count = self.clock.now_ms(), 0
+        membership = self.steering.membership
+        if self.row_replicator.is_reader or membership.full_mesh or membership.is_primary():
+            # The VMs that get their rows from this one must learn of them at once.
+            self.digest_due.set()
+
+    async def _send_digests(self) -> None:
+        """Send digests at an interval with jitter, and at once when rows have changed."""
+        last_ms, live_count, urgent = self.clock.now_ms(), 0, True
         while True:
             now_ms = self.clock.now_ms()
             self.steering.tick(now_ms - last_ms, now_ms)
             last_ms = now_ms
-            if len(self.steering.live_heartbeats) != live_count:
-                live_count = len(self.steering.live_heartbeats)
+            membership = self.steering.membership
+            if len(membership.live) != live_count:
+                live_count = len(membership.live)
                 logger.info(
-                    "{} other VMs are live, {} known",
+                    "{} other VMs are live, {} known; collectors of this failure domain: {}",
                     live_count,
-                    len(self.steering.membership.peers),
+                    len(membership.known),
+                    membership.collectors,
                 )
-            self._send_heartbeat(now_ms)
-            self.heartbeat_due = anyio.Event()
-            with anyio.move_on_after(HEARTBEAT_INTERVAL_MS / 1000 * random.uniform(0.9, 1.1)):
-                await self.heartbeat_due.wait()
-
-    def _send_heartbeat(self, now_ms: int, hosts: list[str] | None = None) -> None:
-        heartbeat = self.steering.make_heartbeat(
+            outgoing = self.steering.digest_exchange.make_digests(
+                self._make_own_state(now_ms), now_ms, urgent=urgent
+            )
+            for digest, hosts in outgoing:
+                self.peer_transport.send_digest(digest, hosts)
+            self.digest_due = anyio.Event()
+            urgent = False
+            with anyio.move_on_after(DIGEST_INTERVAL_MS / 1000 * random.uniform(0.9, 1.1)):
+                await self.digest_due.wait()
+                urgent = True
+            if urgent:
+                await anyio.sleep(URGENT_DIGEST_DELAY_S)
+
+    def _make_own_state(self, now_ms: int) -> OwnState:
+        return self.steering.make_own_state(
             self.is_ready(),
             self.row_replicator.store_available,
             self.row_replicator.row_cache.positions,
             now_ms,
         )
-        self.peer_transport.send_heartbeat(
-            heartbeat, hosts or self.steering.membership.next_receivers()
-        )
 
     # Stopping and reloading
 
@@ -270,7 +294,7 @@
         """Leave look-up answers, serve callers for a time, then finish running requests."""
         grace_s = self.deployment.bounds.grace_ms / 1000
         self.steering.leaving = True
-        self.heartbeat_due.set()
+        self.digest_due.set()
         logger.info(
             "stopping: callers move to other VMs, {} requests running",
             self.caller_app.running_requests,
--- a/tests/steps/steered_release_steps.py
+++ b/tests/steps/steered_release_steps.py
@@ -219,7 +219,9 @@
 
 @then("the VM reports no requests on the old version")
 def step_no_requests(context):
-    heartbeat = context.steering_model.make_heartbeat(True, True, {}, 20)
-    assert heartbeat.releases[0].old_in_flight == 0
-    decoded = decode_datagram(encode_datagram(heartbeat))
-    assert decoded == heartbeat
+    steering = context.steering_model
+    own_state = steering.make_own_state(True, True, {}, 20)
+    assert own_state.releases[0].old_in_flight == 0
+    steering.membership.hosts.add("10.0.0.9")
+    ((digest, _),) = steering.digest_exchange.make_digests(own_state, 20, urgent=False)
+    assert decode_datagram(encode_datagram(digest)) == digest
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -27,7 +27,18 @@
     WeightedService,
 )
 from berylbankd._internal.peers.codec import decode_datagram, encode_datagram
-from berylbankd._internal.peers.messages import Heartbeat, TokenGrant, TokenRequest
+from berylbankd._internal.peers.messages import (
+    DigestScope,
+    DomainMembers,
+    Member,
+    Position,
+    RegionSums,
+    ReleaseReport,
+    RouteEvidence,
+    StateDigest,
+    TokenGrant,
+    TokenRequest,
+)
 from berylbankd._internal.peers.transport import PeerTransport
 from berylbankd._internal.steering.membership import Membership, choose_readers
 from berylbankd._internal.steering.picks import Pick, PickRequest
@@ -582,8 +593,26 @@
     assert context.token_requests < count, context.token_requests
 
 
+def make_digest(number, incarnation=5, sequence=1, **fields):
+    values = {"ready": True, "leaving": False, "reading": True, **fields}
+    host = f"10.0.0.{number}"
+    member = Member(f"vm-{number}", host, f"{host}:80", "a", incarnation, sequence, 1.0, **values)
+    domains = (DomainMembers("a", (member,)),)
+    return StateDigest(DigestScope.VM, member.vm, host, "a", incarnation, sequence, (), domains)
+
+
 DATAGRAMS = {
-    "heartbeat": Heartbeat("vm-1", 7, 8, "10.0.0.1", "10.0.0.1:80", "one", "a", True, False, True),
+    "digest": make_digest(1),
+    "digest with sums": make_digest(1)._replace(
+        scope=DigestScope.FLEET,
+        positions=(Position("t", 7),),
+        live_domains=("a", "b"),
+        loads={1: 2.0, 2**32 - 1: 0.5},
+        regions=(RegionSums("one", {3: 1.5}, {}),),
+        releases=(ReleaseReport("desk", 7, 2, True, 100, 3, (RouteEvidence("r", 1, 2, 3, 4),), 1),),
+        hosts=("10.0.0.9",),
+        age_ms=750,
+    ),
     "token request": TokenRequest("alder", 3, 5, 17),
     "token grant": TokenGrant(17, 3),
     "grant for an unknown organisation": TokenGrant(17, 0, known=False),
@@ -672,16 +701,16 @@
 class TokenOwner:
     """Grants one token for each token request."""
 
-    def handle_heartbeat(self, heartbeat):
+    def handle_digest(self, digest):
         pass
 
     def grant_tokens(self, request):
         return TokenGrant(request.number, 1)
 
 
-@when("a VM sends another VM {count:d} token requests and heartbeats at once")
+@when("a VM sends another VM {count:d} token requests and digests at once")
 def step_many_token_requests(context, count):
-    heartbeat = DATAGRAMS["heartbeat"]
+    digest = DATAGRAMS["digest"]
 
     async def exchange():
         port = free_port()
@@ -693,7 +722,7 @@
             context.granted = []
             async with anyio.create_task_group() as requests:
                 for number in range(count):
-                    client.send_heartbeat(heartbeat, ["127.0.2.2"])
+                    client.send_digest(digest, ["127.0.2.2"])
                     requests.start_soon(request_tokens, client, number)
             group.cancel_scope.cancel()
 
@@ -895,72 +924,69 @@
 # Membership
 
 
-def make_heartbeat(number, incarnation=5, sequence=1, **fields):
-    values = {"ready": True, "leaving": False, "reading": True, **fields}
-    return Heartbeat(
-        f"vm-{number}", incarnation, sequence, f"10.0.0.{number}", "", "one", "a", **values
-    )
-
-
-@given("a VM that receives heartbeats from 8 others")
+@given("a VM that receives digests from 8 others")
 def step_members(context):
     context.membership = Membership(make_deployment())
     context.now_ms = 0
     for number in range(1, 9):
-        context.membership.record_heartbeat(make_heartbeat(number), 0)
+        receive(context, make_digest(number), 0)
 
 
-@when("one sends no heartbeats for {ms:d} ms")
+def receive(context, digest, now_ms):
+    membership = context.membership
+    if membership.is_newer(digest, now_ms):
+        membership.record_digest(digest, now_ms)
+    membership.update(now_ms)
+
+
+@when("one sends no digests for {ms:d} ms")
 def step_silent_vm(context, ms):
     context.now_ms = ms
     for number in range(2, 9):
-        context.membership.record_heartbeat(make_heartbeat(number, sequence=9), ms)
+        receive(context, make_digest(number, sequence=9), ms)
 
 
 @then("it is not live, but still counts in the fleet size")
 def step_not_live(context):
-    assert "vm-1" not in {
-        heartbeat.vm for heartbeat in context.membership.live_heartbeats(context.now_ms)
-    }
+    assert "vm-1" not in {member.vm for member in context.membership.live}
     assert context.membership.fleet_size(context.now_ms) == 9
 
 
-@when("an older heartbeat of one arrives after a newer one")
-def step_older_heartbeat(context):
-    context.membership.record_heartbeat(make_heartbeat(1, sequence=7, leaving=True), 100)
-    context.membership.record_heartbeat(make_heartbeat(1, sequence=6), 110)
+@when("an older digest of one arrives after a newer one")
+def step_older_digest(context):
+    receive(context, make_digest(1, sequence=7, leaving=True), 100)
+    receive(context, make_digest(1, sequence=6), 110)
 
 
-@then("its newest heartbeat is kept")
+@then("its newest digest is kept")
 def step_newest(context):
-    assert context.membership.peers["vm-1"].heartbeat.leaving
+    assert context.membership.known["vm-1"].member.leaving
 
 
 @when("it restarts with an older incarnation")
 def step_restart_older(context):
-    context.membership.record_heartbeat(make_heartbeat(1, incarnation=4), context.now_ms)
+    receive(context, make_digest(1, incarnation=4), context.now_ms)
 
 
 @then("it is live")
 def step_live(context):
-    assert "vm-1" in {
-        heartbeat.vm for heartbeat in context.membership.live_heartbeats(context.now_ms)
-    }
+    assert "vm-1" in {member.vm for member in context.membership.live}
 
 
-def choose_readers_everywhere(heartbeats):
+def make_members(**fields):
+    return [make_digest(number, **fields).domains[0].members[0] for number in range(9)]
+
+
+def choose_readers_everywhere(members):
     return [
-        choose_readers(
-            [heartbeat for heartbeat in heartbeats if heartbeat is not own], own.vm, True
-        )
-        for own in heartbeats
+        choose_readers([member for member in members if member is not own], own.vm, True)
+        for own in members
     ]
 
 
 @then("all VMs choose the same 2 readers of the store")
 def step_readers(context):
-    heartbeats = [make_heartbeat(number) for number in range(9)]
-    chosen = choose_readers_everywhere(heartbeats)
+    chosen = choose_readers_everywhere(make_members())
     assert all(readers == chosen[0] for readers in chosen) and len(chosen[0]) == 2
     context.readers = chosen[0]
 
@@ -972,10 +998,12 @@
 
 @then("all other VMs choose 2 readers without it")
 def step_other_readers(context):
-    heartbeats = [make_heartbeat(n, reading=f"vm-{n}" != context.failed_reader) for n in range(9)]
-    others = [heartbeat for heartbeat in heartbeats if heartbeat.vm != context.failed_reader]
+    members = [
+        member._replace(reading=member.vm != context.failed_reader) for member in make_members()
+    ]
+    others = [member for member in members if member.vm != context.failed_reader]
     for own in others:
-        readers = choose_readers([item for item in heartbeats if item is not own], own.vm, True)
+        readers = choose_readers([item for item in members if item is not own], own.vm, True)
         assert len(readers) == 2 and context.failed_reader not in readers
 
 
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -23,7 +23,8 @@
 
 def make_deployment(name="vm-0", domain="a"):
     regions = {"a": "one", "b": "two"}
+    host = f"10.0.0.{name[3:]}"
     return Deployment(
-        name, f"10.0.0.{name[3:]}", domain, regions[domain], regions, "", "", "", 1, 2, (), "", 300,
+        name, host, domain, regions[domain], regions, f"{host}:80", "", "", 1, 2, (), "", 300,
         1.0, 1000.0, Bounds(),
     )  # fmt: skip
--- a/tests/unit/steering/membership.feature
+++ b/tests/unit/steering/membership.feature
@@ -1,23 +1,23 @@
-Feature: Fleet membership from heartbeats
+Feature: Fleet membership from digests
 
   Scenario: a VM that falls silent is no longer live within two seconds
-    Given a VM that receives heartbeats from 8 others
-    When one sends no heartbeats for 1500 ms
+    Given a VM that receives digests from 8 others
+    When one sends no digests for 1500 ms
     Then it is not live, but still counts in the fleet size
 
-  Scenario: an older heartbeat that arrives late is ignored
-    Given a VM that receives heartbeats from 8 others
-    When an older heartbeat of one arrives after a newer one
-    Then its newest heartbeat is kept
+  Scenario: an older digest that arrives late is ignored
+    Given a VM that receives digests from 8 others
+    When an older digest of one arrives after a newer one
+    Then its newest digest is kept
 
   Scenario: a VM that restarts with its clock set back is accepted again
-    Given a VM that receives heartbeats from 8 others
-    When one sends no heartbeats for 1500 ms
+    Given a VM that receives digests from 8 others
+    When one sends no digests for 1500 ms
     And it restarts with an older incarnation
     Then it is live
 
   Scenario: VMs agree on the readers of the store, and another VM replaces a failed reader
-    Given a VM that receives heartbeats from 8 others
+    Given a VM that receives digests from 8 others
     Then all VMs choose the same 2 readers of the store
     When a reader gets no answer from the store
     Then all other VMs choose 2 readers without it
@@ -27,7 +27,8 @@
 
     Examples:
       | kind                              |
-      | heartbeat                         |
+      | digest                            |
+      | digest with sums                  |
       | token request                     |
       | token grant                       |
       | grant for an unknown organisation |
@@ -43,5 +44,5 @@
     Then it knows the 2 readers, after one call
 
   Scenario: all of many simultaneous token requests are answered
-    When a VM sends another VM 40 token requests and heartbeats at once
+    When a VM sends another VM 40 token requests and digests at once
     Then all 40 are answered
