Give the tokens of organisations to VMs in proportion to their cores and links

Owners are ranked by weighted rendezvous hashing; one copy of it serves collectors, look-ups and owners.

--- a/packages/berylbankd/src/berylbankd/_internal/models/deployment.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/deployment.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Link that a core can keep busy with the responses of backend servers.
+LINK_MBPS_PER_CORE = 100.0
+
 
 class Bounds(NamedTuple):
     """Bounds set by the platform's operators; durations in milliseconds, shares from 0 to 1.
@@ -60,3 +63,11 @@
     link_mbps: float
     bounds: Bounds
     first_start: bool = False
+
+    @property
+    def capacity(self) -> float:
+        """Return the VM's weight for tasks that VMs have for each other, in cores.
+
+        A VM with a narrow link counts as less than its cores: messages wait behind responses.
+        """
+        return min(self.cores, self.link_mbps / LINK_MBPS_PER_CORE)
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -61,7 +61,7 @@
 class Member(NamedTuple):
     """One VM of the fleet.
 
-    ``callers`` is the address for callers as IP:port, ``capacity`` the VM's processor cores.
+    ``callers`` is the address for callers as IP:port, ``capacity`` that of :class:`Deployment`.
     ``ready`` tells whether the VM can serve callers, ``leaving`` whether it is stopping, and
     ``reading`` whether its last call to the store succeeded. ``sequence`` is the number of the
     digest in which the VM stated this.
--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -306,7 +306,7 @@
             deployment.failure_domain,
             self.incarnation,
             self.sequence,
-            deployment.cores,
+            deployment.capacity,
             own.ready,
             own.leaving,
             own.reading,
--- a/packages/berylbankd/src/berylbankd/_internal/steering/directory.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/directory.py
@@ -3,14 +3,13 @@
 Callers in a failure domain with fewer than two ready VMs are given VMs elsewhere in their region.
 The VMs passed in must be ready: a VM that is stopping or silent must not be listed. A failure
 domain can have more VMs than fit into an answer; the VMs that answer then list different ones, and
-those with more processor cores more often, so that callers spread over all of them.
+those with more capacity more often, so that callers spread over all of them.
 """
 
-import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from berylbankd._internal.steering.placement import hash_to_fraction
+from berylbankd._internal.steering.placement import compute_weighted_rank
 
 # A caller with a single address cannot send requests for a second when that VM fails.
 MIN_ADDRESSES = 2
@@ -18,7 +17,7 @@
 
 
 class ReadyVm(NamedTuple):
-    """A VM that accepts requests, its address for callers as IP:port, and its processor cores."""
+    """A VM that accepts requests, its address for callers as IP:port, and its capacity."""
 
     vm: str
     address: str
@@ -48,10 +47,8 @@
             vm for vm in ready if not allowed_regions or vm.region in allowed_regions
         ] or ready
     if len(nearby) > MAX_ADDRESSES:
-        nearby = sorted(nearby, key=lambda vm: _weighted_rank(answering_vm, vm))
+        nearby = sorted(
+            nearby,
+            key=lambda vm: compute_weighted_rank(vm.capacity, "look-up", answering_vm, vm.vm),
+        )
     return [vm.address for vm in nearby[:MAX_ADDRESSES]]
-
-
-def _weighted_rank(answering_vm: str, vm: ReadyVm) -> float:
-    fraction = max(hash_to_fraction("look-up", answering_vm, vm.vm), 1e-12)
-    return -math.log(fraction) / max(vm.capacity, 0.01)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -6,7 +6,6 @@
 no election, so a wrong view costs messages and never a rule.
 """
 
-import math
 from collections.abc import Iterable
 
 from berylbankd._internal.models.deployment import Deployment
@@ -16,7 +15,7 @@
     Position,
     StateDigest,
 )
-from berylbankd._internal.steering.placement import hash_to_fraction
+from berylbankd._internal.steering.placement import compute_weighted_rank, hash_to_fraction
 
 # Interval at which digests are due; see digest_exchange for the intervals of each scope.
 DIGEST_INTERVAL_MS = 250
@@ -308,7 +307,7 @@
     def _update_collectors(self, now_ms: int) -> None:
         self._suspect_silent_primary(now_ms)
         own = Member(
-            self.vm, self.host, "", self.deployment.failure_domain, 0, 0, self.deployment.cores,
+            self.vm, self.host, "", self.deployment.failure_domain, 0, 0, self.deployment.capacity,
             True, False, True,
         )  # fmt: skip
         candidates = [] if self.leaving else [own]
@@ -378,12 +377,11 @@
 def rank_collectors(members: Iterable[Member]) -> list[Member]:
     """Rank the VMs of a failure domain as collectors, the same on all VMs.
 
-    A VM with more processor cores ranks first more often, in proportion to its cores.
+    A VM ranks first in proportion to its capacity.
     """
 
     def sort_key(member: Member) -> tuple[float, str]:
-        fraction = max(hash_to_fraction("collector", member.vm), 1e-12)
-        return -math.log(fraction) / max(member.capacity, 0.01), member.vm
+        return compute_weighted_rank(member.capacity, "collector", member.vm), member.vm
 
     return sorted(members, key=sort_key)
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -6,6 +6,7 @@
 agree without exchanging messages, and the first server in the ranking with capacity is used.
 """
 
+import math
 import statistics
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -21,6 +22,7 @@
 # Largest share of the servers that may be ejected; beyond it all servers are used again.
 MAX_EJECTED_SHARE = 0.5
 HASH_RANGE = float(2**64)
+MIN_RANK_WEIGHT = 0.001
 # Servers that may handle one object: enough for a busy object, but few enough that they keep the
 # object cached.
 SERVERS_PER_OBJECT = 2
@@ -64,6 +66,15 @@
     return float(xxhash.xxh64_intdigest("\0".join(parts).encode()) / HASH_RANGE)
 
 
+def compute_weighted_rank(weight: float, *parts: str) -> float:
+    """Return a rank by weighted rendezvous hashing, lowest first, the same on all VMs.
+
+    Of several candidates each ranks first in proportion to its weight.
+    """
+    fraction = max(hash_to_fraction(*parts), 1 / HASH_RANGE)
+    return -math.log(fraction) / max(weight, MIN_RANK_WEIGHT)
+
+
 def rank_servers(servers: Iterable[ServerState], query: PlacementQuery) -> list[ServerState]:
     """Rank servers for an object: the preferred failure domain first, then by hash."""
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/quota_coordinator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/quota_coordinator.py
@@ -33,14 +33,14 @@
         self.vm = deployment.vm
         self.region = deployment.region
         self.manager = QuotaManager(deployment.bounds, deployment.region, now_ms)
-        self.region_vms = [deployment.vm]
+        self.region_capacities: Mapping[str, float] = {deployment.vm: deployment.capacity}
         self.owners_by_organisation: dict[str, list[str]] = {}
         self.advertised_demand: dict[str, float] = {}
 
-    def set_region_vms(self, vms: list[str]) -> None:
-        """Set the VMs of this region that may own token buckets."""
-        if vms != self.region_vms:
-            self.region_vms = vms
+    def set_region_vms(self, capacities: Mapping[str, float]) -> None:
+        """Set the VMs of this region that may own token buckets, with their capacities."""
+        if capacities != self.region_capacities:
+            self.region_capacities = capacities
             self.owners_by_organisation.clear()
 
     def owners(self, organisation: str) -> list[str]:
@@ -51,7 +51,7 @@
         owners = self.owners_by_organisation.get(organisation)
         if owners is None:
             owners = self.owners_by_organisation[organisation] = rank_owners(
-                organisation, self.region_vms
+                organisation, self.region_capacities
             )
         return owners
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/quotas.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/quotas.py
@@ -13,7 +13,7 @@
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.types import Organisation
 from berylbankd._internal.peers.messages import TokenRequest
-from berylbankd._internal.steering.placement import hash_to_fraction
+from berylbankd._internal.steering.placement import compute_weighted_rank
 
 # Time constant of the exponentially decaying mean of demand.
 DEMAND_WINDOW_MS = 3_000
@@ -38,13 +38,15 @@
 OWNERS_PER_ORGANISATION = 2
 
 
-def rank_owners(organisation: str, live_vms: Iterable[str]) -> list[str]:
+def rank_owners(organisation: str, capacities: Mapping[str, float]) -> list[str]:
     """Return the VMs to ask for an organisation's tokens, owner first.
 
-    The second one is asked if the owner does not answer.
+    The second one is asked if the owner does not answer. ``capacities`` are those of the live VMs
+    by name: a VM with a narrow link or few cores owns fewer organisations, as its answers are late.
     """
     ranked = sorted(
-        live_vms, key=lambda vm: hash_to_fraction("tokens", organisation, vm), reverse=True
+        capacities,
+        key=lambda vm: compute_weighted_rank(capacities[vm], "tokens", organisation, vm),
     )
     return ranked[:OWNERS_PER_ORGANISATION]
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -260,9 +260,7 @@
         self.membership.update(now_ms)
         self.peer_sums = self.digest_exchange.sums_of_others(now_ms)
         self.ready_vms_by_region = self._group_ready_vms()
-        self.quotas.set_region_vms(
-            self.ready_vms_by_region.get(self.deployment.region, [self.deployment.vm])
-        )
+        self.quotas.set_region_vms(self._find_region_capacities())
         self._update_peer_load()
         self._update_quotas(now_ms)
         self.sync_releases(now_ms)
@@ -412,6 +410,18 @@
                 vms_by_region.setdefault(self._region_of(member), []).append(member.vm)
         return {region: sorted(vms) for region, vms in vms_by_region.items()}
 
+    def _find_region_capacities(self) -> dict[str, float]:
+        """Return the ready VMs of this region, which may own token buckets."""
+        region = self.deployment.region
+        capacities = {
+            member.vm: member.capacity
+            for member in self.membership.live
+            if member.ready and not member.leaving and self._region_of(member) == region
+        }
+        if not self.leaving or not capacities:
+            capacities[self.deployment.vm] = self.deployment.capacity
+        return capacities
+
     def _update_demands(self, elapsed_ms: int) -> None:
         for service in set(self.arrivals) | set(self.demands):
             arrivals_per_ms = self.arrivals.pop(service, 0) / max(1, elapsed_ms)
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -193,7 +193,7 @@
                     deployment.caller_address,
                     deployment.failure_domain,
                     deployment.region,
-                    deployment.cores,
+                    deployment.capacity,
                 )
             )
         allowed_regions = self.steering.routing_state.allowed_regions(lookup_query.host)
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -455,7 +455,7 @@
 
 @functools.cache
 def rank_region_owners(region_vms):
-    return [int(name) for name in rank_owners("alder", [str(n) for n in region_vms])]
+    return [int(name) for name in rank_owners("alder", {str(n): 1.0 for n in region_vms})]
 
 
 def exchange_demands(context, now_ms):
@@ -1040,3 +1040,30 @@
 @then('all of them were sent to region "{other}"')
 def step_all_overflow(context, other):
     assert context.overflowed == context.in_full_region
+
+
+@given("3 VMs with 200 Mbit/s and 19 VMs with 6 Mbit/s in a region")
+def step_unequal_links(context):
+    wide = make_deployment()._replace(cores=2.15, link_mbps=200.0).capacity
+    narrow = make_deployment()._replace(cores=0.43, link_mbps=6.0).capacity
+    context.capacities = {f"wide-{n}": wide for n in range(3)}
+    context.capacities.update({f"narrow-{n}": narrow for n in range(19)})
+
+
+def find_owner_of_each(capacities):
+    return {f"o{n}": rank_owners(f"o{n}", capacities)[0] for n in range(500)}
+
+
+@then("the 3 VMs own the tokens of at least 80% of 500 organisations")
+def step_wide_owners(context):
+    context.owner_of = find_owner_of_each(context.capacities)
+    owned = sum(1 for owner in context.owner_of.values() if owner.startswith("wide"))
+    assert owned >= 400, owned
+
+
+@then("when one of the 3 fails, only its organisations change their owner")
+def step_wide_fails(context):
+    left = {vm: weight for vm, weight in context.capacities.items() if vm != "wide-0"}
+    after = find_owner_of_each(left)
+    changed = {name for name, owner in after.items() if owner != context.owner_of[name]}
+    assert changed == {name for name, owner in context.owner_of.items() if owner == "wide-0"}
--- a/tests/support/digest_fleet.py
+++ b/tests/support/digest_fleet.py
@@ -30,7 +30,7 @@
         self.region = regions[self.domain]
         self.deployment = Deployment(
             self.name, self.host, self.domain, self.region, regions, f"{self.host}:80", "", "",
-            1, 2, (), "", 300, CAPACITIES[number % len(CAPACITIES)], 20.0, Bounds(),
+            1, 2, (), "", 300, CAPACITIES[number % len(CAPACITIES)], 1000.0, Bounds(),
         )  # fmt: skip
         self.incarnation = incarnation
         self.in_flight = 1
--- a/tests/unit/steering/quotas.feature
+++ b/tests/unit/steering/quotas.feature
@@ -47,3 +47,8 @@
       | all VMs restart at once                |
       | half of the VMs are killed             |
       | the VMs that own the tokens are killed |
+
+  Scenario: VMs with narrow links own the tokens of few organisations
+    Given 3 VMs with 200 Mbit/s and 19 VMs with 6 Mbit/s in a region
+    Then the 3 VMs own the tokens of at least 80% of 500 organisations
+    And when one of the 3 fails, only its organisations change their owner
