Load a canary's servers as they will be loaded later, and let a step last until its responses are known

The version fails under load only. Ruled out: VMs that did not hear of the rollback (all within 1.3 s), evidence of single VMs.

The canary's requests are now for objects of a fifth of the requests and go to a fifth of the new servers; steps last until responses are known, as far as the release's time allows.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -5,6 +5,10 @@
 the release's duration. Every VM gives the new version the same small canary share for the first
 half of that duration, then increases it in steps while the evidence from all VMs stays good. Any VM
 that detects a regression rolls the release back for all VMs.
+
+The canary's requests are for a part of the objects and go to a part of the new version's servers,
+so that these servers have the load that they will have later: a fault that shows only under load
+would otherwise show when the new version already gets most requests.
 """
 
 import math
@@ -14,6 +18,8 @@
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.types import ReleaseOrder, ReleaseState
 from berylbankd._internal.peers.messages import ReleaseReport, RouteEvidence
+from berylbankd._internal.steering.placement import hash_to_fraction
+from berylbankd._internal.steering.servers import ServerState
 
 # The new version's share of the requests by step; the first step is the canary.
 STEP_SHARES = (0.07, 0.2, 0.4, 0.7, 1.0)
@@ -23,7 +29,16 @@
 # Responses required before the canary ends, unless the timeout share of the duration has passed.
 MIN_CANARY_RESPONSES = 30
 CANARY_TIMEOUT_SHARE = 0.65
-STEP_INTERVAL_MS = 700
+MIN_STEP_INTERVAL_MS = 700
+# Time in which the responses of a step are reported to the VM that drives the release.
+REPORT_DELAY_MS = 500
+# Share of the new version's servers in each region that serve the canary, and the least number.
+CANARY_SERVER_SHARE = 0.2
+MIN_CANARY_SERVERS = 1
+# Objects whose requests may go to the new version, as a multiple of its share of the requests.
+ELIGIBLE_OBJECTS_RATIO = 3.0
+# Time at the end of a release in which requests on the old version finish.
+OLD_REQUESTS_TIME_MS = 2_500
 # All requests must have gone to the new version for this long before the release can succeed.
 FULL_SHARE_HOLD_MS = 800
 # After this share of the duration a release at its last step succeeds even if a VM still reports an
@@ -63,7 +78,10 @@
 
 
 class Release:
-    """The progress of one release order as this VM sees it."""
+    """The progress of one release order as this VM sees it.
+
+    ``service_ms`` is the mean time to serve a request of the service.
+    """
 
     def __init__(self, order: ReleaseOrder, bounds: Bounds, now_ms: int) -> None:
         self.order = order
@@ -76,6 +94,7 @@
         self.new_version_credit = 0.0
         self.old_in_flight = 0
         self.route_counts: dict[str, RouteCounts] = {}
+        self.service_ms = 0.0
 
     def elapsed_ms(self, now_ms: int) -> int:
         """Return the time since the first VM learned of the order."""
@@ -89,7 +108,17 @@
             return 1.0
         return self.canary_share if self.step == 0 else STEP_SHARES[self.step]
 
-    def choose_version(self) -> VersionPreference:
+    def is_canary(self) -> bool:
+        """Tell whether the new version gets only the canary share."""
+        return self.step == 0 and not self.succeeded
+
+    def step_interval_ms(self) -> float:
+        """Return how long a step lasts: until its first responses are known, if time allows."""
+        steps_ms = self.order.duration_ms * (FORCED_END_SHARE - CANARY_DURATION_SHARE)
+        available_ms = (steps_ms - FULL_SHARE_HOLD_MS - OLD_REQUESTS_TIME_MS) / (LAST_STEP - 1)
+        return max(MIN_STEP_INTERVAL_MS, min(available_ms, self.service_ms + REPORT_DELAY_MS))
+
+    def choose_version(self, object_key: str = "") -> VersionPreference:
         """Choose the version for one request.
 
         The new version's share holds over any sequence of requests.
@@ -99,10 +128,17 @@
         if self.succeeded:
             return VersionPreference(True, False)
         self.new_version_credit = min(1.0, self.new_version_credit) + self.current_share()
-        if self.new_version_credit < 1:
+        if self.new_version_credit < 1 or not self._is_eligible(object_key):
             return VersionPreference(False, False)
         return VersionPreference(True, self.step < LAST_STEP)
 
+    def _is_eligible(self, object_key: str) -> bool:
+        """Tell whether an object's requests may go to the new version, the same on all VMs."""
+        eligible_share = ELIGIBLE_OBJECTS_RATIO * self.current_share()
+        if not object_key or eligible_share >= 1:
+            return True
+        return hash_to_fraction("release", str(self.order.revision), object_key) < eligible_share
+
     def record_dispatch(self, new_version: bool) -> None:
         """Count a dispatched request; the new version's credit is spent only on dispatch."""
         if new_version:
@@ -185,7 +221,7 @@
             )
             due = due or (elapsed_ms >= duration_ms * CANARY_TIMEOUT_SHARE and responses > 0)
         else:
-            due = now_ms - self.step_started_ms >= STEP_INTERVAL_MS
+            due = now_ms - self.step_started_ms >= self.step_interval_ms()
         if due:
             self.step, self.step_started_ms = self.step + 1, now_ms
         return due
@@ -210,6 +246,12 @@
         return ReleaseState.SUCCEEDED if self.succeeded else ReleaseState.RUNNING
 
 
+def choose_canary_servers(servers: Iterable[ServerState]) -> list[ServerState]:
+    """Return the servers of a region that serve the canary, the same on all VMs."""
+    ranked = sorted(servers, key=lambda state: hash_to_fraction("canary", state.registration.id))
+    return ranked[: max(MIN_CANARY_SERVERS, math.ceil(CANARY_SERVER_SHARE * len(ranked)))]
+
+
 def find_regression(evidence: Iterable[RouteEvidence]) -> str | None:
     """Return why the new version is worse, over all routes or on a single one, or None."""
     total = RouteCounts()
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -24,7 +24,11 @@
 from berylbankd._internal.steering.quota_coordinator import FleetView, QuotaCoordinator
 from berylbankd._internal.steering.reachability import DomainReachability
 from berylbankd._internal.steering.region_planner import RegionPlanner
-from berylbankd._internal.steering.releases import BaselineLatency, Release
+from berylbankd._internal.steering.releases import (
+    BaselineLatency,
+    Release,
+    choose_canary_servers,
+)
 from berylbankd._internal.steering.retries import RetryBudget
 from berylbankd._internal.steering.retry_after import RetryAfterSpread
 from berylbankd._internal.steering.routing_state import RoutingState, RowCodec
@@ -50,8 +54,9 @@
 class Steering:
     """All routing decisions of one VM.
 
-    ``server_groups`` caches the servers of each service and version by region; it is cleared when
-    ``grouped_generation`` is no longer the generation of the routing state. ``arrivals`` counts
+    ``server_groups`` caches the servers of each service and version by region, and those of a
+    canary; it is cleared when ``grouped_generation`` is no longer the generation of the routing
+    state. ``arrivals`` counts
     requests by service since the last slow tick, and ``demands`` is a moving average of
     the slots that they use.
     ``service_credits`` holds for each route the credit of its weighted services.
@@ -80,7 +85,7 @@
         self.service_credits: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
         self.peer_sums: FleetSums = make_empty_sums()
         self.ready_vms_by_region: dict[str, list[str]] = {}
-        self.server_groups: dict[tuple[str, str | None], dict[str, ServerGroup]] = {}
+        self.server_groups: dict[tuple[str, str | None, bool], dict[str, ServerGroup]] = {}
         self.grouped_generation = -1
         self.server_ids_by_hash: dict[int, str] = {}
         self.hashed_generation = -1
@@ -95,7 +100,7 @@
         release = self.releases.get(request.service)
         if release is None:
             return self._pick_version(request, False, now_ms)
-        preference = release.choose_version()
+        preference = release.choose_version(request.object_key if request.has_affinity else "")
         pick = self._pick_version(request, preference.prefer_new, now_ms)
         if pick is None and preference.allow_fallback:
             pick = self._pick_version(request, not preference.prefer_new, now_ms)
@@ -288,6 +293,7 @@
             if release is None or release.order.revision != order.revision:
                 release = Release(order, self.deployment.bounds, now_ms)
                 self.releases[service] = release
+            release.service_ms = self.expected_service_ms(service)
             status_row = self.routing_state.statuses.get(service)
             # A status row older than the order belongs to an earlier release.
             if status_row is None or status_row.revision < order.revision:
@@ -352,22 +358,30 @@
             self.grouped_generation = self.routing_state.generation
             self.server_groups.clear()
         release = self.releases.get(service)
+        is_canary = False
         if release is not None and new_version:
             version: str | None = release.order.to_version
+            is_canary = release.is_canary()
         else:
             version = self.routing_state.stable_version(service)
-        found = self.server_groups.get((service, version))
+        key = (service, version, is_canary)
+        found = self.server_groups.get(key)
         if found is None:
-            found = self.server_groups[service, version] = self._group_servers(service, version)
+            found = self.server_groups[key] = self._group_servers(service, version, is_canary)
         return found
 
-    def _group_servers(self, service: str, version: str | None) -> dict[str, ServerGroup]:
+    def _group_servers(
+        self, service: str, version: str | None, is_canary: bool
+    ) -> dict[str, ServerGroup]:
         regions: dict[str, list[ServerState]] = {}
         for state in self.routing_state.servers_of(service):
             if state.registration.version == version:
                 region = self.deployment.regions.get(state.registration.failure_domain, "")
                 regions.setdefault(region, []).append(state)
-        return {region: ServerGroup(servers) for region, servers in regions.items()}
+        return {
+            region: ServerGroup(choose_canary_servers(servers) if is_canary else servers)
+            for region, servers in regions.items()
+        }
 
     def _compute_max_queue_per_slot(self, request: PickRequest) -> float:
         service_ms = self.expected_service_ms(request.service)
--- a/tests/steps/steered_release_steps.py
+++ b/tests/steps/steered_release_steps.py
@@ -10,7 +10,13 @@
 from berylbankd._internal.models.types import ReleaseOrder, RequestKind, Route
 from berylbankd._internal.peers.codec import decode_datagram, encode_datagram
 from berylbankd._internal.steering.picks import PickRequest
-from berylbankd._internal.steering.releases import BaselineLatency, Release
+from berylbankd._internal.steering.releases import (
+    FORCED_END_SHARE,
+    FULL_SHARE_HOLD_MS,
+    LAST_STEP,
+    BaselineLatency,
+    Release,
+)
 from berylbankd._internal.steering.steering import Steering
 from tests.support.steering import ROW_CODEC, make_deployment, server_row
 
@@ -225,3 +231,67 @@
     steering.membership.hosts.add("10.0.0.9")
     ((digest, _),) = steering.digest_exchange.make_digests(own_state, 20, urgent=False)
     assert decode_datagram(encode_datagram(digest)) == digest
+
+
+@given("a VM with {old:d} servers of a version and {new:d} of the version being released")
+def step_two_versions(context, old, new):
+    steering = context.steering_model = Steering(make_deployment(), ROW_CODEC, 1, 0)
+    for number in range(old + new):
+        version = "v1" if number < old else "v2"
+        info = {"service": "desk", "version": version, "zone": "a", "capacity": 50}
+        steering.routing_state.apply_row(server_row(f"s{number}", number + 1, info=info), 0)
+        if number == old - 1:
+            order_release(steering)
+
+
+def order_release(steering):
+    order = {"service": "desk", "to": "v2", "durationS": 16}
+    key = RowKey(ROW_CODEC.orders_table, "rollout/desk")
+    steering.routing_state.apply_row(Row(key, json.dumps(order).encode(), 99), 10)
+    steering.sync_releases(10)
+
+
+@when("{count:d} requests for {objects:d} objects arrive during the canary")
+def step_canary_requests(context, count, objects):
+    steering = context.steering_model
+    route = Route(
+        "reads", "a", "/", RequestKind.SAFE, (), 1000, 300, 2, 1, False, True, frozenset()
+    )
+    context.canary_servers, context.canary_objects, context.sent = [], [], count
+    rng = random.Random(SEED)
+    for _ in range(count):
+        key = f"o{rng.randrange(objects)}"
+        pick = steering.pick(PickRequest(route, "desk", key, frozenset(), frozenset(), 1000), 300)
+        steering.record_dispatch(pick)
+        steering.record_end(pick)
+        if pick.new_version:
+            context.canary_servers.append(pick.server.registration.id)
+            context.canary_objects.append(key)
+
+
+@then("the new version got at most {most:d}% of the requests, and at least {least:d}%")
+def step_canary_share(context, most, least):
+    percent = 100 * len(context.canary_servers) / context.sent
+    assert least <= percent <= most + 0.1, percent
+
+
+@then("they went to {servers:d} of its servers, and were for less than a third of the objects")
+def step_canary_concentrated(context, servers):
+    assert len(set(context.canary_servers)) == servers, set(context.canary_servers)
+    assert len(set(context.canary_objects)) * 3 < 200, len(set(context.canary_objects))
+
+
+@given("a release within {seconds:d} s of a service whose requests take {ms:d} ms")
+def step_slow_service(context, seconds, ms):
+    context.release = Release(ReleaseOrder("desk", "v2", seconds * 1000, 7), Bounds(), 0)
+    context.release.service_ms = ms
+
+
+@then("each step lasts at least {least:d} ms, and all steps end in time")
+def step_interval(context, least):
+    release = context.release
+    interval_ms = release.step_interval_ms()
+    assert interval_ms >= least, interval_ms
+    duration_ms = release.order.duration_ms
+    end_ms = duration_ms * 0.5 + interval_ms * (LAST_STEP - 1) + FULL_SHARE_HOLD_MS
+    assert end_ms < duration_ms * FORCED_END_SHARE, end_ms
--- a/tests/unit/steering/releases.feature
+++ b/tests/unit/steering/releases.feature
@@ -36,3 +36,19 @@
     Given a VM with a request in flight
     When a release is ordered and the request ends
     Then the VM reports no requests on the old version
+
+  Scenario: a canary has few servers and objects, so that its servers have their later load
+    Given a VM with 20 servers of a version and 20 of the version being released
+    When 4000 requests for 200 objects arrive during the canary
+    Then the new version got at most 7% of the requests, and at least 5%
+    And they went to 4 of its servers, and were for less than a third of the objects
+
+  Scenario Outline: a step of a release lasts until its first responses are known
+    Given a release within 16 s of a service whose requests take <ms> ms
+    Then each step lasts at least <least> ms, and all steps end in time
+
+    Examples:
+      | ms   | least |
+      | 100  | 700   |
+      | 600  | 1100  |
+      | 5000 | 1100  |
