--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -6,9 +6,9 @@
 half of that duration, then increases it in steps while the evidence from all VMs stays good. Any VM
 that detects a regression rolls the release back for all VMs.
 
-The canary's requests are for a part of the objects and go to a part of the new version's servers,
-so that these servers have the load that they will have later: a fault that shows only under load
-would otherwise show when the new version already gets most requests.
+At each step the new version's requests go to the same share of its servers, and are for a part of
+the objects, so that these servers have the load that they will have later: a fault that shows only
+under load would otherwise show when the new version already gets most requests.
 """
 
 import math
@@ -32,11 +32,8 @@
 MIN_STEP_INTERVAL_MS = 700
 # Time in which the responses of a step are reported to the VM that drives the release.
 REPORT_DELAY_MS = 500
-# Share of the new version's servers in each region that serve the canary, and the least number.
-CANARY_SERVER_SHARE = 0.2
-MIN_CANARY_SERVERS = 1
 # Objects whose requests may go to the new version, as a multiple of its share of the requests.
-ELIGIBLE_OBJECTS_RATIO = 3.0
+ELIGIBLE_OBJECTS_RATIO = 2.0
 # Time at the end of a release in which requests on the old version finish.
 OLD_REQUESTS_TIME_MS = 2_500
 # All requests must have gone to the new version for this long before the release can succeed.
@@ -108,10 +105,6 @@
             return 1.0
         return self.canary_share if self.step == 0 else STEP_SHARES[self.step]
 
-    def is_canary(self) -> bool:
-        """Tell whether the new version gets only the canary share."""
-        return self.step == 0 and not self.succeeded
-
     def step_interval_ms(self) -> float:
         """Return how long a step lasts: until its first responses are known, if time allows."""
         steps_ms = self.order.duration_ms * (FORCED_END_SHARE - CANARY_DURATION_SHARE)
@@ -246,10 +239,10 @@
         return ReleaseState.SUCCEEDED if self.succeeded else ReleaseState.RUNNING
 
 
-def choose_canary_servers(servers: Iterable[ServerState]) -> list[ServerState]:
-    """Return the servers of a region that serve the canary, the same on all VMs."""
-    ranked = sorted(servers, key=lambda state: hash_to_fraction("canary", state.registration.id))
-    return ranked[: max(MIN_CANARY_SERVERS, math.ceil(CANARY_SERVER_SHARE * len(ranked)))]
+def choose_release_servers(servers: Iterable[ServerState], share: float) -> list[ServerState]:
+    """Return a share of a region's servers, the same on all VMs; a larger share adds to it."""
+    ranked = sorted(servers, key=lambda state: hash_to_fraction("release", state.registration.id))
+    return ranked[: max(1, math.ceil(share * len(ranked)))]
 
 
 def find_regression(evidence: Iterable[RouteEvidence]) -> str | None:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -27,7 +27,7 @@
 from berylbankd._internal.steering.releases import (
     BaselineLatency,
     Release,
-    choose_canary_servers,
+    choose_release_servers,
 )
 from berylbankd._internal.steering.retries import RetryBudget
 from berylbankd._internal.steering.retry_after import RetryAfterSpread
@@ -54,11 +54,10 @@
 class Steering:
     """All routing decisions of one VM.
 
-    ``server_groups`` caches the servers of each service and version by region, and those of a
-    canary; it is cleared when ``grouped_generation`` is no longer the generation of the routing
-    state. ``arrivals`` counts
-    requests by service since the last slow tick, and ``demands`` is a moving average of
-    the slots that they use.
+    ``server_groups`` caches the servers of each service and version by region, and the share of
+    them that a release uses; it is cleared when ``grouped_generation`` is no longer the generation
+    of the routing state. ``arrivals`` counts requests by service since the last slow tick, and
+    ``demands`` is a moving average of the slots that they use.
     ``service_credits`` holds for each route the credit of its weighted services.
     """
 
@@ -85,7 +84,7 @@
         self.service_credits: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
         self.peer_sums: FleetSums = make_empty_sums()
         self.ready_vms_by_region: dict[str, list[str]] = {}
-        self.server_groups: dict[tuple[str, str | None, bool], dict[str, ServerGroup]] = {}
+        self.server_groups: dict[tuple[str, str | None, float], dict[str, ServerGroup]] = {}
         self.grouped_generation = -1
         self.server_ids_by_hash: dict[int, str] = {}
         self.hashed_generation = -1
@@ -358,20 +357,20 @@
             self.grouped_generation = self.routing_state.generation
             self.server_groups.clear()
         release = self.releases.get(service)
-        is_canary = False
+        share = 1.0
         if release is not None and new_version:
             version: str | None = release.order.to_version
-            is_canary = release.is_canary()
+            share = release.current_share()
         else:
             version = self.routing_state.stable_version(service)
-        key = (service, version, is_canary)
+        key = (service, version, share)
         found = self.server_groups.get(key)
         if found is None:
-            found = self.server_groups[key] = self._group_servers(service, version, is_canary)
+            found = self.server_groups[key] = self._group_servers(service, version, share)
         return found
 
     def _group_servers(
-        self, service: str, version: str | None, is_canary: bool
+        self, service: str, version: str | None, share: float
     ) -> dict[str, ServerGroup]:
         regions: dict[str, list[ServerState]] = {}
         for state in self.routing_state.servers_of(service):
@@ -379,7 +378,7 @@
                 region = self.deployment.regions.get(state.registration.failure_domain, "")
                 regions.setdefault(region, []).append(state)
         return {
-            region: ServerGroup(choose_canary_servers(servers) if is_canary else servers)
+            region: ServerGroup(choose_release_servers(servers, share))
             for region, servers in regions.items()
         }
 
--- a/tests/steps/steered_release_steps.py
+++ b/tests/steps/steered_release_steps.py
@@ -275,10 +275,22 @@
     assert least <= percent <= most + 0.1, percent
 
 
-@then("they went to {servers:d} of its servers, and were for less than a third of the objects")
+@then("they went to {servers:d} of its servers, and were for less than a fifth of the objects")
 def step_canary_concentrated(context, servers):
     assert len(set(context.canary_servers)) == servers, set(context.canary_servers)
-    assert len(set(context.canary_objects)) * 3 < 200, len(set(context.canary_objects))
+    assert len(set(context.canary_objects)) * 5 < 200, len(set(context.canary_objects))
+
+
+@when("the release is at the step with 40% of the requests")
+def step_second_step(context):
+    context.steering_model.releases["desk"].step = 2
+
+
+@then("the new version may use {count:d} of its servers, the first ones among them")
+def step_more_servers(context, count):
+    (group,) = context.steering_model._find_groups("desk", True).values()
+    ids = {state.registration.id for state in group.servers}
+    assert len(ids) == count and set(context.canary_servers) <= ids
 
 
 @given("a release within {seconds:d} s of a service whose requests take {ms:d} ms")
--- a/tests/unit/steering/releases.feature
+++ b/tests/unit/steering/releases.feature
@@ -41,7 +41,9 @@
     Given a VM with 20 servers of a version and 20 of the version being released
     When 4000 requests for 200 objects arrive during the canary
     Then the new version got at most 7% of the requests, and at least 5%
-    And they went to 4 of its servers, and were for less than a third of the objects
+    And they went to 2 of its servers, and were for less than a fifth of the objects
+    When the release is at the step with 40% of the requests
+    Then the new version may use 8 of its servers, the first ones among them
 
   Scenario Outline: a step of a release lasts until its first responses are known
     Given a release within 16 s of a service whose requests take <ms> ms
