Keep the daemon running after an unexpected error in a background task or a datagram

Any error in one of nine tasks cancelled all of them and cut every request; a closed reader of standard output did so too; tokens granted to a VM that was suspended meanwhile were spent 5 s late. Each has a scenario; they fail before. Also: buckets of removed cold servers are deleted.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -1,6 +1,5 @@
 """The ASGI application for callers: admits, dispatches, answers and logs each request."""
 
-import traceback
 from typing import Any, NamedTuple
 
 import anyio
@@ -18,6 +17,7 @@
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 from berylbankd._internal.steering.picks import PickRequest
 from berylbankd._internal.steering.steering import Steering
+from berylbankd._internal.supervision import describe_error
 
 # Subtracted from the caller's deadline, so that the response arrives before the caller gives up.
 RESPONSE_MARGIN_MS = 20
@@ -313,15 +313,6 @@
     return (route.regions & organisation.regions) or None
 
 
-def describe_error(error: BaseException) -> str:
-    """Return the kind, the message and the place of an error, on one line."""
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    frames = traceback.extract_tb(error.__traceback__)
-    place = f" in {frames[-1].name}, line {frames[-1].lineno}" if frames else ""
-    return f"{type(error).__name__}: {error}{place}"
-
-
 def make_result_after_deadline(attempts: RequestAttempts) -> Refusal | BufferedResponse:
     """Return the response or the refusal for a request whose deadline has expired."""
     if attempts.server_error_response is not None:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/rate_limiter.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/rate_limiter.py
@@ -7,6 +7,7 @@
 from berylbank._internal.utils.clock import Clock
 from berylbankd._internal.models.types import Organisation
 from berylbankd._internal.peers.messages import TokenGrant, TokenRequest
+from berylbankd._internal.steering.quotas import PREFETCHED_TTL_MS
 from berylbankd._internal.steering.steering import Steering
 
 # One timeout per attempt: a lost datagram is sent once more. Within a region, replies arrive in a
@@ -74,6 +75,9 @@
             return None
         for timeout_s in TOKEN_REQUEST_TIMEOUTS_S:
             grant = await self.channel.ask_tokens(host, request, timeout_s)
+            # A VM that was suspended meanwhile would spend tokens of an earlier time.
+            if self.clock.now_ms() - now_ms >= PREFETCHED_TTL_MS:
+                return None
             if grant is not None:
                 return grant
         return None
--- a/packages/berylbankd/src/berylbankd/_internal/logs.py
+++ b/packages/berylbankd/src/berylbankd/_internal/logs.py
@@ -97,10 +97,14 @@
 
 
 def _write_stdout(data: bytes) -> int:
+    """Return how many bytes were written; all count as written once nobody reads them any more."""
     try:
         return os.write(sys.stdout.fileno(), data) if data else 0
     except BlockingIOError:
         return 0
+    except BrokenPipeError:
+        # The daemon must outlive the reader of its log, and has no other place to report this.
+        return len(data)
 
 
 def configure_logs(as_json: bool, vm: str) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
@@ -19,6 +19,7 @@
     TokenGrant,
     TokenRequest,
 )
+from berylbankd._internal.supervision import describe_error
 
 # The nearest VM that has the rows is asked first; on a timeout the caller tries another VM.
 FETCH_ROWS_TIMEOUT_S = 0.8
@@ -114,7 +115,14 @@
             self._handle(decode_datagram(data), host)
         except ProtocolError as error:
             self.rejected_datagrams += 1
-            logger.warning("rejected a datagram from another VM: {}", error)
+            logger.warning("rejected a datagram from another VM at {}: {}", host, error)
+        except Exception as error:  # no datagram may end the processing of the next ones
+            self.rejected_datagrams += 1
+            logger.error(
+                "datagram from another VM at {} could not be handled: {}",
+                host,
+                describe_error(error),
+            )
 
     def _handle(self, datagram: Datagram, host: str) -> None:
         if isinstance(datagram, StateDigest):
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -278,6 +278,8 @@
     def _slow_tick(self, elapsed_ms: int, now_ms: int) -> None:
         """Update what takes a pass over all backend servers and changes only over seconds."""
         self.routing_state.remove_missing_servers(now_ms)
+        for server_id in self.cold_server_buckets.keys() - self.routing_state.servers.keys():
+            del self.cold_server_buckets[server_id]
         self._update_demands(elapsed_ms)
         if self.routing_state.configuration is not None:
             services, demands = self.routing_state.configuration.services, self._demands_by_region()
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -3,6 +3,7 @@
 import os
 import random
 import signal
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import anyio
@@ -42,6 +43,7 @@
 from berylbankd._internal.steering.directory import ReadyVm, choose_addresses
 from berylbankd._internal.steering.membership import DIGEST_INTERVAL_MS
 from berylbankd._internal.steering.steering import Steering
+from berylbankd._internal.supervision import run_supervised
 
 # Callers keep the answer of a look-up at most this long, and stop using a VM that is not in the
 # next one.
@@ -127,16 +129,20 @@
         self.caller_server = HttpServer(self.caller_app, deployment.caller_address)
 
     def _start_tasks(self, group: TaskGroup) -> None:
-        group.start_soon(self.logs.run)
         group.start_soon(self._watch_signals)
-        group.start_soon(self._watch_settings)
-        group.start_soon(self.peer_transport.run)
-        group.start_soon(self._send_digests)
-        group.start_soon(self.row_replicator.run)
-        group.start_soon(self.vm_registry.run)
-        group.start_soon(self.release_driver.run)
-        group.start_soon(self.round_trip_meter.run)
-        group.start_soon(self._close_idle_connections)
+        tasks: dict[str, Callable[[], Awaitable[None]]] = {
+            "logs": self.logs.run,
+            "settings": self._watch_settings,
+            "datagrams": self.peer_transport.run,
+            "digests": self._send_digests,
+            "rows": self.row_replicator.run,
+            "registry": self.vm_registry.run,
+            "releases": self.release_driver.run,
+            "round trips": self.round_trip_meter.run,
+            "idle connections": self._close_idle_connections,
+        }
+        for name, run in tasks.items():
+            group.start_soon(run_supervised, name, run)
 
     async def _start_servers(self) -> None:
         deployment = self.deployment
--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -2,6 +2,9 @@
 
 import json
 import math
+import os
+import random
+import sys
 import time
 
 import anyio
@@ -13,15 +16,21 @@
 
 from berylbank._internal.utils.clock import BootClock
 from berylbankd._internal.ingress.app import CallerApp
-from berylbankd._internal.models.types import RequestKind, WeightedService
+from berylbankd._internal.ingress.rate_limiter import RateLimiter
+from berylbankd._internal.logs import LogWriter
+from berylbankd._internal.models.types import Organisation, RequestKind, WeightedService
+from berylbankd._internal.peers.codec import encode_datagram
+from berylbankd._internal.peers.messages import TokenGrant
+from berylbankd._internal.peers.transport import PeerTransport
 from berylbankd._internal.platform.headers import PlatformHeaderCodec
 from berylbankd._internal.steering.picks import Pick, PickRequest
 from berylbankd._internal.steering.regions import RegionLoad, RegionSplit
 from berylbankd._internal.steering.retry_after import RetryAfterSpread
 from berylbankd._internal.steering.steering import Steering
 from berylbankd._internal.steering.warmup import ColdServerBucket
+from berylbankd._internal.supervision import run_supervised
 from tests.steps.ingress_steps import KEY, install_keys
-from tests.steps.steering_steps import ROUTE
+from tests.steps.steering_steps import ROUTE, make_digest
 from tests.support.steering import ROW_CODEC, make_deployment, server_row
 
 DEADLINE_MS = 600
@@ -417,3 +426,141 @@
     split.update({**loads, "two": RegionLoad(amounts[6], 0)}, 250)
     assert all(math.isfinite(part) for part in split.local.fractions.values())
     assert isinstance(ColdServerBucket(0).take(amounts[7], 100), bool)
+
+
+# Background tasks and the log
+
+
+@given("a background task that fails twice")
+def step_failing_task(context):
+    context.runs = 0
+
+    async def run():
+        context.runs += 1
+        if context.runs <= 2:
+            raise ValueError("broken row")
+
+    context.task = run
+
+
+@when("it runs beside another one")
+def step_run_beside(context):
+    context.other_ended, context.lines = False, []
+
+    async def run_both():
+        async with anyio.create_task_group() as group:
+            group.start_soon(run_supervised, "rows", context.task)
+            await anyio.sleep(0.1)
+            context.other_ended = True
+
+    sink = logger.add(context.lines.append, level="ERROR", format="{message}")
+    try:
+        anyio.run(run_both)
+    finally:
+        logger.remove(sink)
+
+
+@then("it is started again each time, and the other one is not cancelled")
+def step_started_again(context):
+    assert context.runs == 3 and context.other_ended
+
+
+@then("the log names the task and its error")
+def step_task_line(context):
+    assert len(context.lines) == 2
+    assert "task rows failed" in context.lines[0] and "broken row" in context.lines[0]
+
+
+@when("nobody reads standard output any more")
+def step_broken_pipe(context):
+    reader, writer = os.pipe()
+    os.close(reader)
+    context.log_writer = LogWriter("vm-0")
+    context.log_writer.enqueue_line(0.0, "INFO", "lost", {})
+    saved = sys.stdout
+    with os.fdopen(writer, "wb", buffering=0) as broken:
+        sys.stdout = broken
+        try:
+            context.log_writer.flush()
+        finally:
+            sys.stdout = saved
+
+
+@then("lines are written without an error, and none are kept")
+def step_lines_dropped(context):
+    assert not context.log_writer.queued_lines and not context.log_writer.unwritten_bytes
+
+
+class JumpingClock:
+    """A clock that the test moves."""
+
+    def __init__(self):
+        self.time_ms = 10_000
+
+    def now_ms(self):
+        return self.time_ms
+
+
+class SuspendedChannel:
+    """Answers each token request with a grant, while the VM is suspended for some time."""
+
+    def __init__(self, clock, suspended_ms):
+        self.clock = clock
+        self.suspended_ms = suspended_ms
+
+    async def ask_tokens(self, host, request, timeout_s):
+        self.clock.time_ms += self.suspended_ms
+        return TokenGrant(0, 1)
+
+
+@when("it is suspended for {seconds:d} s until the first owner's grant arrives")
+def step_suspended(context, seconds):
+    clock = JumpingClock()
+    rate_limiter = RateLimiter(context.steering, SuspendedChannel(clock, seconds * 1000), clock)
+    organisation = Organisation("alder", (), 0, 100.0, 100.0, frozenset())
+    context.grant = anyio.run(rate_limiter._request_tokens, "vm-1", organisation)
+
+
+@then("the grant is not used")
+def step_grant_unused(context):
+    assert context.grant is None
+
+
+class RecordingHandler:
+    """Records the digests that arrive, and fails on those of one VM."""
+
+    def __init__(self):
+        self.handled = []
+
+    def handle_digest(self, digest):
+        if digest.vm == "vm-9":
+            raise KeyError("unknown table")
+        self.handled.append(digest.vm)
+
+    def grant_tokens(self, request):
+        return TokenGrant(request.number, 1)
+
+
+def make_bad_datagram(kind):
+    if kind == "of random bytes":
+        return random.Random(7).randbytes(200)
+    digest = make_digest(9 if kind == "that its handler fails on" else 1)
+    if kind == "that names a host that is no address":
+        digest = digest._replace(hosts=("not-an-address",))
+    if kind == "with an amount that is no number":
+        digest = digest._replace(loads={1: float("nan")})
+    return encode_datagram(digest)
+
+
+@when("a VM receives a datagram {kind} and then a digest")
+def step_bad_datagram(context, kind):
+    context.handler = RecordingHandler()
+    context.transport = PeerTransport("127.0.0.1", 1, context.handler)
+    context.transport._receive(make_bad_datagram(kind), "10.0.0.7")
+    context.transport._receive(encode_datagram(make_digest(2)), "10.0.0.2")
+
+
+@then("the digest is handled, and the first datagram is counted as rejected")
+def step_next_handled(context):
+    assert context.handler.handled == ["vm-2"]
+    assert context.transport.rejected_datagrams == 1
--- a/tests/unit/ingress/request_faults.feature
+++ b/tests/unit/ingress/request_faults.feature
@@ -31,3 +31,29 @@
 
   Scenario: amounts, rates and weights of any size are no cause of an error in any decision
     Then decisions on random amounts, rates, weights and latencies give finite results
+
+  Scenario: an error in one background task leaves the daemon and its other tasks running
+    Given a background task that fails twice
+    When it runs beside another one
+    Then it is started again each time, and the other one is not cancelled
+    And the log names the task and its error
+
+  Scenario: the daemon outlives the reader of its log
+    When nobody reads standard output any more
+    Then lines are written without an error, and none are kept
+
+  Scenario: a VM that was suspended while it waited for tokens does not spend them
+    Given a VM that asks two owners for tokens
+    When it is suspended for 5 s until the first owner's grant arrives
+    Then the grant is not used
+
+  Scenario Outline: a datagram <of> is dropped, and the next one is handled
+    When a VM receives a datagram <of> and then a digest
+    Then the digest is handled, and the first datagram is counted as rejected
+
+    Examples:
+      | of                                   |
+      | of random bytes                      |
+      | that names a host that is no address |
+      | with an amount that is no number     |
+      | that its handler fails on            |
