--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -37,7 +37,7 @@
 
 _schema = capnp.load(str(Path(__file__).with_name("datagrams.capnp")))
 # Fields with the same name in the schema and in :class:`StateDigest`.
-_SAME_NAME_FIELDS = ("vm", "host", "incarnation", "sequence")
+_SAME_NAME_FIELDS = ("vm", "host", "incarnation", "sequence", "part", "parts")
 
 
 def encode_datagram(datagram: Datagram) -> bytes:
--- a/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
@@ -38,6 +38,8 @@
   releases @11 :List(Release);
   hosts @12 :List(Text);
   ageMs @13 :UInt32;
+  part @14 :UInt16;
+  parts @15 :UInt16;
 }
 
 struct DomainMembers {
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -112,7 +112,12 @@
     ``positions`` are those of the sender, whatever the scope. ``domains`` lists the members of some
     failure domains; ``live_domains`` names all failure domains that the sender hears from.
     ``loads`` are requests in flight by the hash of the backend server's id. ``hosts`` are IP
-    addresses of some other VMs. ``age_ms`` is the age of the oldest part at the time of sending.
+    addresses of some other VMs. ``age_ms`` is the age of the oldest report in it at the time of
+    sending.
+
+    A digest of several VMs is sent in ``parts`` datagrams, each with the amounts of some names;
+    releases and ``live_domains`` are in ``part`` 0. Datagrams that only list members have higher
+    numbers.
     """
 
     scope: DigestScope
@@ -129,6 +134,8 @@
     releases: tuple[ReleaseReport, ...] = ()
     hosts: tuple[str, ...] = ()
     age_ms: int = 0
+    part: int = 0
+    parts: int = 1
 
 
 class TokenRequest(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -8,10 +8,12 @@
 of its domain and the number of domains, and the sums are a few intervals old at most.
 
 A digest lists all members of a domain only when they changed and now and then. A VM that is heard
-for the first time gets an answer at once, so that it knows its collectors.
+for the first time gets an answer at once, so that it knows its collectors. Datagrams stay below the
+size that links carry without fragments, as larger ones get lost more often; digests of several VMs
+are therefore split.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from berylbankd._internal.models.deployment import Deployment
@@ -47,12 +49,20 @@
 # A changed list of members is sent this many times, as datagrams may be lost.
 CHANGED_LIST_REPEATS = 3
 # A list of members is sent this often although it did not change.
-LIST_REFRESH_INTERVAL_MS = 3_000
+LIST_REFRESH_INTERVAL_MS = 6_000
 # Hosts without an answer so far that get a digest at each interval, and known VMs that are silent.
 UNHEARD_HOSTS_PER_INTERVAL = 4
 SILENT_HOSTS_PER_INTERVAL = 2
 # A VM that keeps reporting to a VM that is not its collector gets an answer this often.
 ANSWER_INTERVAL_MS = 1_000
+# Sums over the fleet take at most this many bytes a second of each receiver; with many names in use
+# they are sent less often.
+MAX_FLEET_SUMS_BYTES_PER_S = 6_000
+AMOUNT_BYTES = 8
+# A datagram has at most this many amounts, or lists this many members (about 45 bytes each); a
+# longer list of a single domain is not split.
+MAX_AMOUNTS_PER_DATAGRAM = 110
+MAX_MEMBERS_PER_DATAGRAM = 24
 # Sums that are older are no longer used; until then they are better than none.
 MAX_SUMS_AGE_MS = 5_000
 
@@ -84,6 +94,36 @@
     received_ms: int
 
 
+class ReceivedParts:
+    """The latest datagram of each part of a collector's digest."""
+
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
+        self.incarnation = 0
+        self.parts: dict[int, ReceivedDigest] = {}
+        self.received_ms = 0
+
+    def add(self, digest: StateDigest, now_ms: int) -> None:
+        """Store a datagram; parts of a digest that was split otherwise are dropped."""
+        self.received_ms = now_ms
+        if digest.part >= digest.parts:
+            return
+        if any(item.digest.parts != digest.parts for item in self.parts.values()) or (
+            digest.incarnation != self.incarnation
+        ):
+            self.parts.clear()
+        self.incarnation = digest.incarnation
+        self.parts[digest.part] = ReceivedDigest(digest, now_ms)
+
+    def current(self, now_ms: int) -> list[tuple[StateDigest, int]]:
+        """Return the parts that are not too old, with their ages."""
+        return [
+            (item.digest, now_ms - item.received_ms)
+            for item in self.parts.values()
+            if now_ms - item.received_ms < MAX_SUMS_AGE_MS
+        ]
+
+
 class SentList:
     """When the list of members of a failure domain must be sent again.
 
@@ -127,8 +167,8 @@
         self.incarnation = incarnation
         self.sequence = 0
         self.reports: dict[str, ReceivedDigest] = {}
-        self.domain_digests: dict[str, dict[str, ReceivedDigest]] = {}
-        self.fleet_digest: ReceivedDigest | None = None
+        self.domain_digests: dict[str, dict[str, ReceivedParts]] = {}
+        self.fleet_digest: ReceivedParts | None = None
         self.own_report: StateDigest | None = None
         self.sent_ms: dict[str, int] = {}
         self.answered_ms: dict[str, int] = {}
@@ -138,6 +178,7 @@
         self.near_list = SentList(REGION_INTERVAL_MS)
         self.far_list = SentList(REMOTE_INTERVAL_MS)
         self.silent_offset = 0
+        self.fleet_interval_ms = REGION_INTERVAL_MS
 
     # Receiving
 
@@ -145,27 +186,32 @@
         """Store a digest; return whether its sender must get an answer at once."""
         if digest.vm == self.deployment.vm or not self.membership.is_newer(digest, now_ms):
             return False
-        received = ReceivedDigest(digest, now_ms)
         if digest.scope is DigestScope.VM:
-            self.reports[digest.vm] = received
-            known = self.membership.known.get(digest.vm)
-            was_leaving = known is not None and known.member.leaving
-            has_appeared = self.membership.record_digest(digest, now_ms)
-            known = self.membership.known.get(digest.vm)
-            if known is not None and known.member.leaving and not was_leaving:
-                self.announcement_due = self.membership.is_primary()
-            return has_appeared or self._must_redirect(digest, now_ms)
+            return self._receive_report(digest, now_ms)
         if digest.scope is DigestScope.DOMAIN:
             by_sender = self.domain_digests.setdefault(digest.failure_domain, {})
-            by_sender[digest.vm] = received
+            received = by_sender.setdefault(digest.vm, ReceivedParts(digest.vm))
+            received.add(digest, now_ms)
             accepted = self._choose_domain_digest(by_sender, now_ms) is received
         else:
             accepted = self._accepts_fleet_digest(digest, now_ms)
             if accepted:
-                self.fleet_digest = received
+                if self.fleet_digest is None or self.fleet_digest.vm != digest.vm:
+                    self.fleet_digest = ReceivedParts(digest.vm)
+                self.fleet_digest.add(digest, now_ms)
         self.membership.record_digest(digest, now_ms, accepted=accepted)
         return False
 
+    def _receive_report(self, digest: StateDigest, now_ms: int) -> bool:
+        self.reports[digest.vm] = ReceivedDigest(digest, now_ms)
+        known = self.membership.known.get(digest.vm)
+        was_leaving = known is not None and known.member.leaving
+        has_appeared = self.membership.record_digest(digest, now_ms)
+        known = self.membership.known.get(digest.vm)
+        if known is not None and known.member.leaving and not was_leaving:
+            self.announcement_due = self.membership.is_primary()
+        return has_appeared or self._must_redirect(digest, now_ms)
+
     def _must_redirect(self, digest: StateDigest, now_ms: int) -> bool:
         """Tell whether a VM reports here although this VM sends it nothing.
 
@@ -204,8 +250,7 @@
         fleet = self.fleet_digest
         if fleet is None or now_ms - fleet.received_ms >= MAX_SUMS_AGE_MS:
             return merge_digests(self._collected_parts(now_ms))
-        sums = merge_digests([(fleet.digest, now_ms - fleet.received_ms)])
-        return subtract_own(sums, self.own_report)
+        return subtract_own(merge_digests(fleet.current(now_ms)), self.own_report)
 
     def _collected_parts(self, now_ms: int) -> list[tuple[StateDigest, int]]:
         """Return the digests that together cover each other VM once, with their ages."""
@@ -214,7 +259,7 @@
             if failure_domain != self.deployment.failure_domain:
                 chosen = self._choose_domain_digest(by_sender, now_ms)
                 if chosen is not None:
-                    parts.append((chosen.digest, now_ms - chosen.received_ms))
+                    parts += chosen.current(now_ms)
         covered = {digest.failure_domain for digest, _ in parts}
         return parts + [
             part for part in self._fresh_reports(now_ms) if part[0].failure_domain not in covered
@@ -232,8 +277,8 @@
         ]
 
     def _choose_domain_digest(
-        self, by_sender: dict[str, ReceivedDigest], now_ms: int
-    ) -> ReceivedDigest | None:
+        self, by_sender: dict[str, ReceivedParts], now_ms: int
+    ) -> ReceivedParts | None:
         """Return the digest of a domain's primary collector, or else the latest one."""
         for sender, received in list(by_sender.items()):
             if now_ms - received.received_ms >= MAX_SUMS_AGE_MS:
@@ -245,9 +290,9 @@
         ]
         if len(fresh) <= 1:
             return fresh[0] if fresh else None
-        collectors = [
-            item.vm for item in self.membership.collectors_of(fresh[0].digest.failure_domain)
-        ]
+        member = self.membership.known.get(fresh[0].vm)
+        domain = member.member.failure_domain if member is not None else ""
+        collectors = [item.vm for item in self.membership.collectors_of(domain)]
         # While only one collector sends, it is trusted for longer.
         for vm in collectors:
             ranked = by_sender.get(vm)
@@ -274,22 +319,24 @@
             outgoing += self._make_collector_digests(report, now_ms, urgent)
         return [item for item in outgoing if item.hosts]
 
-    def make_answer(self, own: OwnState, receiver: str, now_ms: int) -> OutgoingDigest | None:
-        """Return the digest for a VM that was heard for the first time, or after a silence.
+    def make_answers(self, own: OwnState, receiver: str, now_ms: int) -> list[OutgoingDigest]:
+        """Return the digests for a VM that was heard for the first time, or after a silence.
 
-        It introduces the VMs of the receiver's failure domain and the collectors of the others.
+        They introduce the VMs of the receiver's failure domain and the collectors of the others.
         """
         known = self.membership.known.get(receiver)
         if known is None:
-            return None
+            return []
         domain = known.member.failure_domain
         lists = [
             DomainMembers(name, tuple(self._members_to_introduce(name, domain)))
             for name in {item.failure_domain for item in self.membership.live} | {domain}
         ]
         report = self._make_report(own)
-        digest = report._replace(domains=(*report.domains, *lists))
-        return OutgoingDigest(digest, (known.member.host,))
+        return [
+            OutgoingDigest(report._replace(domains=(*report.domains, *group)), (known.member.host,))
+            for group in group_lists(lists)
+        ]
 
     def _members_to_introduce(self, failure_domain: str, receiver_domain: str) -> list[Member]:
         if failure_domain == receiver_domain:
@@ -331,7 +378,8 @@
     ) -> list[OutgoingDigest]:
         near_due = urgent or self._is_due("region", REGION_INTERVAL_MS, now_ms)
         far_due = urgent or self._is_due("remote", REMOTE_INTERVAL_MS, now_ms)
-        if not near_due and not far_due:
+        fleet_due = urgent or self._is_due("fleet", self.fleet_interval_ms, now_ms)
+        if not near_due and not far_due and not fleet_due:
             return []
         near, far = self._other_collectors(now_ms)
         domain_digest = self._make_domain_digest(report, now_ms)
@@ -346,11 +394,13 @@
             digest = domain_digest._replace(
                 domains=lists if sent_list.is_due(lists[0].members, set(hosts)) else ()
             )
-            outgoing.append(OutgoingDigest(digest, tuple(hosts)))
-        if near_due:
+            outgoing += [OutgoingDigest(part, tuple(hosts)) for part in split_digest(digest)]
+        if fleet_due:
             members = self.membership.domain_members(self.deployment.failure_domain)
+            member_hosts = tuple(item.host for item in members)
             fleet = self._make_fleet_digest(report, now_ms)
-            outgoing.append(OutgoingDigest(fleet, tuple(item.host for item in members)))
+            self.fleet_interval_ms = compute_fleet_interval_ms(count_amounts(fleet))
+            outgoing += [OutgoingDigest(part, member_hosts) for part in split_digest(fleet)]
         return outgoing
 
     def _make_domain_digest(self, report: StateDigest, now_ms: int) -> StateDigest:
@@ -445,3 +495,69 @@
         releases=tuple(sums.releases.values()),
         age_ms=sums.age_ms,
     )
+
+
+def count_amounts(digest: StateDigest) -> int:
+    """Return the number of amounts in a digest."""
+    return len(digest.loads) + sum(
+        len(item.demands) + len(item.organisations) for item in digest.regions
+    )
+
+
+def compute_fleet_interval_ms(amounts: int) -> int:
+    """Return the interval at which the fleet's sums are sent to the VMs of a domain."""
+    bytes_each = amounts * AMOUNT_BYTES
+    return max(REGION_INTERVAL_MS, bytes_each * 1000 // MAX_FLEET_SUMS_BYTES_PER_S)
+
+
+def split_digest(digest: StateDigest) -> list[StateDigest]:
+    """Return the datagrams that together carry a digest of several VMs.
+
+    Amounts are divided by their keys, so that each is in the same part every time.
+    """
+    parts = max(1, -(-count_amounts(digest) // MAX_AMOUNTS_PER_DATAGRAM))
+    bare = digest._replace(
+        domains=(), live_domains=(), loads={}, regions=(), releases=(), parts=parts
+    )
+    datagrams = [
+        bare._replace(
+            part=part,
+            loads=_select_part(digest.loads, part, parts),
+            regions=tuple(
+                RegionSums(
+                    item.region,
+                    _select_part(item.demands, part, parts),
+                    _select_part(item.organisations, part, parts),
+                )
+                for item in digest.regions
+            ),
+        )
+        for part in range(parts)
+    ]
+    datagrams[0] = datagrams[0]._replace(live_domains=digest.live_domains, releases=digest.releases)
+    lists = [
+        bare._replace(part=parts + number, domains=group)
+        for number, group in enumerate(group_lists(digest.domains))
+        if group
+    ]
+    # The lists come first, as part 0 refreshes those that are known.
+    return lists + datagrams
+
+
+def group_lists(lists: Iterable[DomainMembers]) -> list[tuple[DomainMembers, ...]]:
+    """Divide lists of members into groups that fit into a datagram each; there is at least one."""
+    groups: list[list[DomainMembers]] = [[]]
+    size = 0
+    for item in lists:
+        if groups[-1] and size + len(item.members) > MAX_MEMBERS_PER_DATAGRAM:
+            groups.append([])
+            size = 0
+        groups[-1].append(item)
+        size += len(item.members)
+    return [tuple(group) for group in groups]
+
+
+def _select_part(amounts: Mapping[int, float], part: int, parts: int) -> Mapping[int, float]:
+    if parts == 1:
+        return amounts
+    return {key: amount for key, amount in amounts.items() if key % parts == part}
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -203,12 +203,14 @@
             for member in domain.members:
                 self._record_member(member, now_ms, heard=False)
         lists = self.lists.get(digest.vm, {})
+        changed = {domain.failure_domain for domain in digest.domains}
         live_domains = set(digest.live_domains)
         for vm, known in self.known.items():
-            listed = lists.get(known.member.failure_domain)
-            if listed is None:
+            domain_name = known.member.failure_domain
+            listed = lists.get(domain_name)
+            if listed is None or (digest.part and domain_name not in changed):
                 continue
-            if vm in listed and known.member.failure_domain in live_domains:
+            if vm in listed and (domain_name in changed or domain_name in live_domains):
                 known.listed_ms = known.live_ms = now_ms
             else:
                 known.listed_ms = NEVER_MS
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -238,11 +238,11 @@
         now_ms = self.clock.now_ms()
         if self.steering.handle_digest(digest, now_ms):
             # Answer a VM that has just appeared, so that it knows this VM and its collectors.
-            answer = self.steering.digest_exchange.make_answer(
+            answers = self.steering.digest_exchange.make_answers(
                 self._make_own_state(now_ms), digest.vm, now_ms
             )
-            if answer is not None:
-                self.peer_transport.send_digest(answer.digest, answer.hosts)
+            for answer, hosts in answers:
+                self.peer_transport.send_digest(answer, hosts)
         if self.steering.digest_exchange.announcement_due:
             self.digest_due.set()
         self.row_replicator.check_positions(digest)
