--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -87,6 +87,13 @@
     hosts: tuple[str, ...]
 
 
+class Receiver(NamedTuple):
+    """An incarnation of a VM that digests are sent to."""
+
+    vm: str
+    incarnation: int
+
+
 class ReceivedDigest(NamedTuple):
     """A digest and the time at which it arrived."""
 
@@ -133,11 +140,11 @@
     def __init__(self, interval_ms: int) -> None:
         self.refresh_digests = LIST_REFRESH_INTERVAL_MS // interval_ms
         self.members: tuple[Member, ...] = ()
-        self.receivers: set[str] = set()
+        self.receivers: set[Receiver] = set()
         self.repeats_left = 0
         self.digests_until_refresh = 0
 
-    def is_due(self, members: tuple[Member, ...], receivers: set[str]) -> bool:
+    def is_due(self, members: tuple[Member, ...], receivers: set[Receiver]) -> bool:
         """Tell whether the list belongs in the next digest to these receivers."""
         if receivers - self.receivers:
             self.repeats_left = CHANGED_LIST_REPEATS
@@ -384,17 +391,17 @@
         near, far = self._other_collectors(now_ms)
         domain_digest = self._make_domain_digest(report, now_ms)
         outgoing: list[OutgoingDigest] = []
-        for due, sent_list, hosts in (
+        for due, sent_list, receivers in (
             (near_due, self.near_list, near),
             (far_due, self.far_list, far),
         ):
             if not due:
                 continue
             lists = domain_digest.domains
-            digest = domain_digest._replace(
-                domains=lists if sent_list.is_due(lists[0].members, set(hosts)) else ()
-            )
-            outgoing += [OutgoingDigest(part, tuple(hosts)) for part in split_digest(digest)]
+            is_due = sent_list.is_due(lists[0].members, _identify_receivers(receivers))
+            digest = domain_digest._replace(domains=lists if is_due else ())
+            hosts = tuple(item.host for item in receivers)
+            outgoing += [OutgoingDigest(part, hosts) for part in split_digest(digest)]
         if fleet_due:
             members = self.membership.domain_members(self.deployment.failure_domain)
             member_hosts = tuple(item.host for item in members)
@@ -421,7 +428,7 @@
             lists.setdefault(item.failure_domain, []).append(item)
         own_domain = self.deployment.failure_domain
         lists[own_domain] = list(self._own_domain_members(report, now_ms))
-        receivers = {item.vm for item in lists[own_domain]}
+        receivers = _identify_receivers(lists[own_domain])
         domains = tuple(
             DomainMembers(name, tuple(members))
             for name, members in lists.items()
@@ -471,18 +478,21 @@
         start = self.silent_offset % max(1, len(silent))
         return (silent + silent)[start : start + min(SILENT_HOSTS_PER_INTERVAL, len(silent))]
 
-    def _other_collectors(self, now_ms: int) -> tuple[list[str], list[str]]:
-        """Return the hosts of the other domains' collectors: in this region, and elsewhere."""
-        near: list[str] = []
-        far: list[str] = []
+    def _other_collectors(self, now_ms: int) -> tuple[list[Member], list[Member]]:
+        """Return the other domains' collectors: in this region, and elsewhere."""
+        near: list[Member] = []
+        far: list[Member] = []
         for domain, region in sorted(self.deployment.regions.items()):
             if domain != self.deployment.failure_domain:
-                hosts = near if region == self.deployment.region else far
-                collectors = self.membership.recent_collectors_of(domain, now_ms)
-                hosts.extend(item.host for item in collectors)
+                collectors = near if region == self.deployment.region else far
+                collectors += self.membership.recent_collectors_of(domain, now_ms)
         return near, far
 
 
+def _identify_receivers(members: Iterable[Member]) -> set[Receiver]:
+    return {Receiver(item.vm, item.incarnation) for item in members}
+
+
 def _identity(member: Member) -> tuple[str, int, bool, bool, bool]:
     """Return what other VMs must learn of a member soon when it changes."""
     return member.vm, member.incarnation, member.ready, member.leaving, member.reading
