--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -15,7 +15,7 @@
     Position,
     StateDigest,
 )
-from berylbankd._internal.steering.placement import compute_weighted_rank, hash_to_fraction
+from berylbankd._internal.steering.placement import hash_to_fraction
 
 # Interval at which digests are due; see digest_exchange for the intervals of each scope.
 DIGEST_INTERVAL_MS = 250
@@ -379,11 +379,12 @@
 def rank_collectors(members: Iterable[Member]) -> list[Member]:
     """Rank the VMs of a failure domain as collectors, the same on all VMs.
 
-    A VM ranks first in proportion to its capacity.
+    The VMs with the most capacity come first: a collector sends to all VMs of its domain at once,
+    and a narrow link drops datagrams that arrive faster than it carries them.
     """
 
-    def sort_key(member: Member) -> tuple[float, str]:
-        return compute_weighted_rank(member.capacity, "collector", member.vm), member.vm
+    def sort_key(member: Member) -> tuple[float, float]:
+        return -round(member.capacity, 2), hash_to_fraction("collector", member.vm)
 
     return sorted(members, key=sort_key)
 
--- a/tests/steps/fleet_state_steps.py
+++ b/tests/steps/fleet_state_steps.py
@@ -117,6 +117,19 @@
     assert context.fleet.none_lists(context.victim.name)
 
 
+@then("no domain's collector has less capacity than another VM of the domain")
+def step_capable_collectors(context):
+    capacity = {vm.name: vm.deployment.capacity for vm in context.fleet.vms}
+    for vm in context.fleet.vms:
+        others = [
+            other
+            for other in context.fleet.vms
+            if other.domain == vm.domain and other.name not in vm.membership.collectors
+        ]
+        least = min(capacity[name] for name in vm.membership.collectors)
+        assert all(capacity[other.name] <= least for other in others), vm.membership.collectors
+
+
 @when("both collectors of a failure domain are killed")
 def step_kill_collectors(context):
     names = set(context.fleet.vms[5].membership.collectors)
--- a/tests/unit/steering/fleet_state.feature
+++ b/tests/unit/steering/fleet_state.feature
@@ -29,6 +29,10 @@
       | 195 | 9       | a VM that collects nothing  | 4       |
       | 195 | 9       | a primary collector         | 5       |
 
+  Scenario: the VMs with the widest links and most cores collect
+    Given 69 VMs in 6 failure domains that know each other
+    Then no domain's collector has less capacity than another VM of the domain
+
   Scenario: both collectors of a domain are killed at once
     Given 195 VMs in 9 failure domains that know each other
     When both collectors of a failure domain are killed
