--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -47,7 +47,7 @@
 # of the first ranks are thus readers before the others check. The spread is longer at the first
 # start of the fleet, when there are no callers yet.
 READER_WAIT_MIN_S = 0.3
-FIRST_START_WAIT_SPREAD_S = 1.2
+FIRST_START_WAIT_SPREAD_S = 3.0
 RESTART_WAIT_SPREAD_S = 0.3
 # A restarted VM reads the store once after this time unless it has fetched the rows from another VM
 # by then. Otherwise, when all VMs restart together, a few VMs would have to send the rows to all.
