--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -32,6 +32,7 @@
     subtract_own,
 )
 from berylbankd._internal.steering.membership import (
+    COLLECTED_DIGEST_INTERVAL_MS,
     DIGEST_INTERVAL_MS,
     LISTED_TIMEOUT_MS,
     REMOTE_LISTED_TIMEOUT_MS,
@@ -41,8 +42,8 @@
 
 # Intervals beyond a full mesh: reports to collectors, sums to the own domain's VMs and to the
 # domains of the own region, and sums to other regions, where bytes are scarce.
-REPORT_INTERVAL_MS = 500
-REGION_INTERVAL_MS = 500
+REPORT_INTERVAL_MS = COLLECTED_DIGEST_INTERVAL_MS
+REGION_INTERVAL_MS = COLLECTED_DIGEST_INTERVAL_MS
 REMOTE_INTERVAL_MS = 1_000
 # A digest that is due within this time is sent with the ones that are due now.
 EARLY_SEND_MS = DIGEST_INTERVAL_MS // 2
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -17,8 +17,10 @@
 )
 from berylbankd._internal.steering.placement import hash_to_fraction
 
-# Interval at which digests are due; see digest_exchange for the intervals of each scope.
+# Interval at which a VM updates what it knows of the others and sends its digests, in a full mesh
+# and else; see digest_exchange for the intervals of each scope.
 DIGEST_INTERVAL_MS = 250
+COLLECTED_DIGEST_INTERVAL_MS = 500
 # Up to this many VMs every VM sends its state to all others, and there are no collectors.
 FULL_MESH_VMS = 16
 # A VM is no longer heard after this time without a digest of its own, in a full mesh and else.
@@ -251,6 +253,10 @@
             if now_ms - known.live_ms < FLEET_SIZE_TTL_MS and not known.member.leaving
         )
 
+    def digest_interval_ms(self) -> int:
+        """Return the interval at which this VM updates its view and sends its digests."""
+        return DIGEST_INTERVAL_MS if self.full_mesh else COLLECTED_DIGEST_INTERVAL_MS
+
     def report_timeout_ms(self) -> int:
         """Return after which time without a digest of its own a VM is no longer heard."""
         return FULL_MESH_TIMEOUT_MS if self.full_mesh else REPORT_TIMEOUT_MS
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -41,7 +41,6 @@
 from berylbankd._internal.platform.store import HttpRowStore
 from berylbankd._internal.steering.digest_exchange import OwnState
 from berylbankd._internal.steering.directory import ReadyVm, choose_addresses
-from berylbankd._internal.steering.membership import DIGEST_INTERVAL_MS
 from berylbankd._internal.steering.steering import Steering
 from berylbankd._internal.supervision import run_supervised
 
@@ -280,7 +279,8 @@
                 self.peer_transport.send_digest(digest, hosts)
             self.digest_due = anyio.Event()
             urgent = False
-            with anyio.move_on_after(DIGEST_INTERVAL_MS / 1000 * random.uniform(0.9, 1.1)):
+            interval_s = membership.digest_interval_ms() / 1000 * random.uniform(0.9, 1.1)
+            with anyio.move_on_after(interval_s):
                 await self.digest_due.wait()
                 urgent = True
             if urgent:
--- a/tests/support/digest_fleet.py
+++ b/tests/support/digest_fleet.py
@@ -8,7 +8,7 @@
 from berylbankd._internal.peers.codec import decode_datagram, encode_datagram
 from berylbankd._internal.peers.messages import DigestScope, ReleaseReport, RouteEvidence
 from berylbankd._internal.steering.digest_exchange import DigestExchange, OwnState
-from berylbankd._internal.steering.membership import DIGEST_INTERVAL_MS, Membership, choose_readers
+from berylbankd._internal.steering.membership import Membership, choose_readers
 
 SEED = 20261204
 LOSS = 0.01
@@ -89,7 +89,8 @@
             self.deliver()
             for vm in self.vms:
                 if vm.running and self.now_ms >= vm.next_tick_ms:
-                    vm.next_tick_ms = self.now_ms + DIGEST_INTERVAL_MS + self.rng.randint(-25, 25)
+                    interval_ms = vm.membership.digest_interval_ms()
+                    vm.next_tick_ms = self.now_ms + int(interval_ms * self.rng.uniform(0.9, 1.1))
                     self.tick(vm, urgent=False)
 
     def tick(self, vm, *, urgent):
