Remember silent VMs for two hours

VMs forgot each other after 120 s of silence, so that regions that lose each other for an hour would have stayed two fleets (by reading; the new scenario cuts a region off for an hour).

--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -41,8 +41,9 @@
 COLLECTORS_PER_DOMAIN = 2
 # A silent VM still counts in the fleet size for this long, as it may only be partitioned.
 FLEET_SIZE_TTL_MS = 20_000
-# A VM that has been silent for this long is forgotten.
-FORGET_MS = 120_000
+# A VM that has been silent for this long is forgotten. Regions can lose each other for an hour, and
+# VMs that forgot all of the other region would never find them again.
+FORGET_MS = 7_200_000
 # Peer hosts listed in each VM's digest in a full mesh, so that VMs discover each other through any
 # one of them.
 HOSTS_PER_DIGEST = 8
@@ -80,10 +81,11 @@
 
     ``hosts`` are the IP addresses of all other VMs that may be running, known from digests,
     settings or the store. ``lists`` holds the latest lists of each collector that this VM heard, by
-    failure domain. ``full_mesh`` tells that the fleet is small enough for every VM to send
-    its state to all others. ``collectors`` are the VMs that this VM's failure domain reports to,
-    the primary one first. ``leaving`` is set while this VM is stopping. ``hears_others`` is false
-    while nothing arrives from any of the known VMs, so that this VM's view of the fleet is void.
+    failure domain, and ``live`` the other live VMs as of the last update. ``full_mesh`` tells that
+    the fleet is small enough for every VM to send its state to all others. ``collectors`` are the
+    VMs that this VM's failure domain reports to, the primary one first. ``leaving`` is set while
+    this VM is stopping. ``hears_others`` is false while nothing arrives from any of the known VMs,
+    so that this VM's view of the fleet is void.
     """
 
     def __init__(self, deployment: Deployment) -> None:
@@ -241,10 +243,6 @@
                 self.lists.pop(known.member.vm, None)
         self._update_collectors(now_ms)
 
-    def live_members(self) -> list[Member]:
-        """Return the other live VMs, as of the last update."""
-        return self.live
-
     def fleet_size(self, now_ms: int) -> int:
         """Return the number of VMs, including this one and those that fell silent recently."""
         return 1 + sum(
--- a/tests/steps/fleet_state_steps.py
+++ b/tests/steps/fleet_state_steps.py
@@ -209,6 +209,15 @@
     fleet.blocked = lambda sender, receiver: False
 
 
+def cut_and_return_region_for_an_hour(fleet):
+    cut_region(fleet)
+    fleet.run(5)
+    # Nothing but the passing of time happens in between.
+    fleet.now_ms += 3_600_000
+    fleet.run(8)
+    fleet.blocked = lambda sender, receiver: False
+
+
 def cut_and_return_vm(fleet):
     fleet.blocked = lambda sender, receiver: "vm-20" in (sender.name, receiver.name)
     fleet.run(10)
@@ -232,6 +241,7 @@
     "a failure domain loses power and returns 5 s on": lose_and_return_domain,
     "a VM restarts with its clock set back": restart_with_clock_back,
     "a region is cut off for 30 s and returns": cut_and_return_region,
+    "a region is cut off for an hour and returns": cut_and_return_region_for_an_hour,
     "a region is cut off": cut_region,
     "a VM is cut off for 10 s and returns": cut_and_return_vm,
     "a VM only sends for 10 s and hears again": deafen_for_a_time,
--- a/tests/unit/steering/fleet_state.feature
+++ b/tests/unit/steering/fleet_state.feature
@@ -57,6 +57,7 @@
       | a failure domain loses power and returns 5 s on  | 4       |
       | a VM restarts with its clock set back            | 4       |
       | a region is cut off for 30 s and returns         | 4       |
+      | a region is cut off for an hour and returns      | 8       |
       | a VM is cut off for 10 s and returns             | 4       |
       | a VM only sends for 10 s and hears again         | 4       |
 
