--- a/tests/steps/fleet_state_steps.py
+++ b/tests/steps/fleet_state_steps.py
@@ -213,8 +213,8 @@
     cut_region(fleet)
     fleet.run(5)
     # Nothing but the passing of time happens in between.
-    fleet.now_ms += 3_600_000
-    fleet.run(8)
+    fleet.now_ms += 3_500_000
+    fleet.run(60)
     fleet.blocked = lambda sender, receiver: False
 
 
