--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -472,11 +472,8 @@
         )
 
     def _demands_by_region(self) -> dict[str, dict[str, float]]:
-        services = (
-            self.routing_state.configuration.services
-            if (self.routing_state.configuration is not None)
-            else {}
-        )
+        configuration = self.routing_state.configuration
+        services = configuration.services if configuration is not None else {}
         by_region: dict[str, dict[str, float]] = {self.deployment.region: dict(self.demands)}
         for region, demands in self.peer_sums.demands.items():
             total = by_region.setdefault(region, {})
