--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -338,7 +338,7 @@
         domain = known.member.failure_domain
         lists = [
             DomainMembers(name, tuple(self._members_to_introduce(name, domain)))
-            for name in {item.failure_domain for item in self.membership.live} | {domain}
+            for name in sorted({item.failure_domain for item in self.membership.live} | {domain})
         ]
         report = self._make_report(own)
         return [
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -362,7 +362,7 @@
         """Return hosts from which nothing was heard yet; each is given up after some attempts."""
         known_hosts = {known.member.host for known in self.known.values()}
         unheard = sorted(
-            self.hosts - known_hosts, key=lambda host: self.host_attempts.get(host, 0)
+            self.hosts - known_hosts, key=lambda host: (self.host_attempts.get(host, 0), host)
         )[:count]
         for host in unheard:
             attempts = self.host_attempts[host] = self.host_attempts.get(host, 0) + 1
