--- a/tools/steering_demo.py
+++ b/tools/steering_demo.py
@@ -10,9 +10,12 @@
 REQUESTS = 60
 
 
-async def send_reads(fleet: SteeringFleet, vm: Vm, prefix: str) -> list[httpx.Response]:
-    """Send reads to one VM; their request ids start with ``prefix``."""
-    responses = []
+async def send_reads(fleet: SteeringFleet, vm: Vm, prefix: str) -> list[httpx.Response | None]:
+    """Send reads to one VM; their request ids start with ``prefix``.
+
+    A read that gets no response is None in the result.
+    """
+    responses: list[httpx.Response | None] = []
     async with httpx.AsyncClient(verify=False) as client:
         for number in range(REQUESTS):
             headers = {
@@ -22,7 +25,10 @@
                 "x-deadline-ms": "2000",
                 "cookie": f"X-Affinity-Key={number % 20}",
             }
-            responses.append(await client.get(fleet.url(vm, "/reads/x"), headers=headers))
+            try:
+                responses.append(await client.get(fleet.url(vm, "/reads/x"), headers=headers))
+            except httpx.HTTPError:
+                responses.append(None)
     return responses
 
 
@@ -36,7 +42,7 @@
         await anyio.sleep(1)
         responses_after = [await send_reads(fleet, vm, f"after{vm.name[-1]}") for vm in fleet.vms]
         statuses = [
-            response.status_code
+            response.status_code if response is not None else 0
             for responses in responses_before + responses_after
             for response in responses
         ]
@@ -44,6 +50,7 @@
             response.json()["server"] == "s0"
             for responses in responses_after
             for response in responses
+            if response is not None and response.status_code == httpx.codes.OK
         )
         leaked_keys = sum(
             API_KEY in json.dumps(seen)
