Reject a digest whose own host is no IP address

Found on re-reading: docs/design/fleet-state.md says that such datagrams are rejected, and members and hosts were checked, but not the sender's own host, to which later digests are sent. The new example fails before (1 of 15 scenarios) and passes now; unit/ingress, membership, releases: 53 passed; functional/steering: 25 passed.

--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -37,7 +37,7 @@
 
 _schema = capnp.load(str(Path(__file__).with_name("datagrams.capnp")))
 # Fields with the same name in the schema and in :class:`StateDigest`.
-_SAME_NAME_FIELDS = ("vm", "host", "incarnation", "sequence", "part", "parts")
+_SAME_NAME_FIELDS = ("vm", "incarnation", "sequence", "part", "parts")
 
 
 def encode_datagram(datagram: Datagram) -> bytes:
@@ -106,6 +106,7 @@
 def _encode_digest(digest: StateDigest) -> dict[str, Any]:
     return {
         "scope": int(digest.scope),
+        "host": digest.host,
         "failureDomain": digest.failure_domain,
         "positions": [position._asdict() for position in digest.positions],
         "domains": [
@@ -152,6 +153,7 @@
     return StateDigest(
         **{name: getattr(digest, name) for name in _SAME_NAME_FIELDS},
         scope=DigestScope(digest.scope),
+        host=_require_host(digest.host),
         failure_domain=digest.failureDomain,
         positions=tuple(
             Position(position.table, position.revision) for position in digest.positions
--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -547,6 +547,8 @@
     digest = make_digest(9 if kind == "that its handler fails on" else 1)
     if kind == "that names a host that is no address":
         digest = digest._replace(hosts=("not-an-address",))
+    if kind == "whose sender's host is no address":
+        digest = digest._replace(host="not-an-address")
     if kind == "with an amount that is no number":
         digest = digest._replace(loads={1: float("nan")})
     return encode_datagram(digest)
--- a/tests/unit/ingress/request_faults.feature
+++ b/tests/unit/ingress/request_faults.feature
@@ -55,5 +55,6 @@
       | of                                   |
       | of random bytes                      |
       | that names a host that is no address |
+      | whose sender's host is no address    |
       | with an amount that is no number     |
       | that its handler fails on            |
