--- /dev/null
+++ b/tests/steps/replication_steps.py
@@ -0,0 +1,116 @@
+"""Steps on the rows that VMs copy from the store and from each other."""
+
+import anyio
+from behave import given, then, when
+
+from berylbankd._internal.models.rows import RowKey
+from tests.support.replication import (
+    ORDERS,
+    SERVERS,
+    ReplicatingFleet,
+    run_random_changes,
+)
+
+EVACUATION = RowKey(ORDERS, "evacuate/b")
+
+
+def server_ids(vm):
+    return {key.key for key in vm.live_rows(SERVERS)}
+
+
+@given('a VM that knows backend servers "s0" and "s1"')
+def step_two_servers(context):
+    context.table = SERVERS
+    context.fleet = ReplicatingFleet(1)
+    context.fleet.put_server("s0")
+    context.fleet.put_server("s1")
+    anyio.run(context.fleet.vms[0].read, SERVERS)
+
+
+@when('server "s1" is removed, and another VM starts and reads the store')
+def step_remove_and_start(context):
+    context.fleet.remove_server("s1")
+    anyio.run(context.fleet.add_vm().read, SERVERS)
+
+
+@when("the first VM fetches the changes from the other VM")
+def step_first_fetches(context):
+    first, other = context.fleet.vms
+    anyio.run(first.fetch, other, context.table)
+
+
+@when("the second VM fetches the changes from the first VM")
+def step_second_fetches(context):
+    first, second = context.fleet.vms
+    context.fleet.sent_rows = 0
+    anyio.run(second.fetch, first, SERVERS)
+
+
+@then('the first VM knows the servers "s0"')
+def step_knows(context):
+    assert server_ids(context.fleet.vms[0]) == {"s0"}, server_ids(context.fleet.vms[0])
+    assert set(context.fleet.vms[0].routing_state.servers) == {"s0"}
+
+
+@given('a VM that knows the evacuation of failure domain "b"')
+def step_evacuation(context):
+    context.table = ORDERS
+    context.fleet = ReplicatingFleet(1)
+    context.fleet.store.put(EVACUATION, b"{}")
+    anyio.run(context.fleet.vms[0].read, ORDERS)
+    assert context.fleet.vms[0].routing_state.evacuated_domains
+
+
+@when("the evacuation ends, and another VM starts and reads the store")
+def step_end_and_start(context):
+    context.fleet.store.put(EVACUATION, None)
+    anyio.run(context.fleet.add_vm().read, ORDERS)
+
+
+@then("the first VM has no evacuated failure domain")
+def step_not_evacuated(context):
+    assert context.fleet.vms[0].routing_state.evacuated_domains == {}
+
+
+@given('two VMs that know backend servers "s0"')
+def step_two_vms(context):
+    context.table = SERVERS
+    context.fleet = ReplicatingFleet(2)
+    context.fleet.put_server("s0")
+    for vm in context.fleet.vms:
+        anyio.run(vm.read, SERVERS)
+
+
+@given("two VMs that know {count:d} backend servers")
+def step_many_servers(context, count):
+    context.fleet = ReplicatingFleet(2)
+    for number in range(count):
+        context.fleet.put_server(f"s-{number}")
+    for vm in context.fleet.vms:
+        anyio.run(vm.read, SERVERS)
+
+
+@when('server "s1" is added and only the first VM follows the store')
+def step_first_follows(context):
+    context.fleet.put_server("s1")
+    context.fleet.vms[0].follow(SERVERS)
+
+
+@when('server "s1" is removed, and the other VM reads the store again')
+def step_other_reads(context):
+    context.fleet.remove_server("s1")
+    anyio.run(context.fleet.vms[1].read, SERVERS)
+
+
+@then("{count:d} row was sent")
+def step_rows_sent(context, count):
+    assert context.fleet.sent_rows == count, context.fleet.sent_rows
+
+
+@then("after {count:d} random orders of changes, reads, starts and fetches all VMs have its rows")
+def step_random_orders(context, count):
+    for seed in range(count):
+        fleet = anyio.run(run_random_changes, seed, 40)
+        expected = {key.key for key in fleet.store.live_rows()}
+        for vm in fleet.vms:
+            assert server_ids(vm) == expected, (seed, vm.name, server_ids(vm), expected)
--- /dev/null
+++ b/tests/unit/feeds/replication.feature
@@ -0,0 +1,30 @@
+Feature: Copies of the store's rows that VMs fetch from each other
+
+  # Diop inc1: VMs kept sending requests to a server that was removed before the VM they fetched from had started.
+  Scenario: a removal is not lost where it is fetched from a VM that started after it
+    Given a VM that knows backend servers "s0" and "s1"
+    When server "s1" is removed, and another VM starts and reads the store
+    And the first VM fetches the changes from the other VM
+    Then the first VM knows the servers "s0"
+
+  Scenario: the end of an evacuation is not lost where it is fetched from a VM that started after it
+    Given a VM that knows the evacuation of failure domain "b"
+    When the evacuation ends, and another VM starts and reads the store
+    And the first VM fetches the changes from the other VM
+    Then the first VM has no evacuated failure domain
+
+  Scenario: a row that was added and removed while the source was not reading is removed
+    Given two VMs that know backend servers "s0"
+    When server "s1" is added and only the first VM follows the store
+    And server "s1" is removed, and the other VM reads the store again
+    And the first VM fetches the changes from the other VM
+    Then the first VM knows the servers "s0"
+
+  Scenario: VMs that fetch in any order from any VM end with the rows of the store
+    Then after 400 random orders of changes, reads, starts and fetches all VMs have its rows
+
+  Scenario: a change is sent to another VM without the rows that it has
+    Given two VMs that know 300 backend servers
+    When server "s1" is added and only the first VM follows the store
+    And the second VM fetches the changes from the first VM
+    Then 1 row was sent
