--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -20,7 +20,7 @@
 
 @given('a VM that knows backend servers "s0" and "s1"')
 def step_two_servers(context):
-    context.table = SERVERS
+    context.copied_table = SERVERS
     context.fleet = ReplicatingFleet(1)
     context.fleet.put_server("s0")
     context.fleet.put_server("s1")
@@ -36,7 +36,7 @@
 @when("the first VM fetches the changes from the other VM")
 def step_first_fetches(context):
     first, other = context.fleet.vms
-    anyio.run(first.fetch, other, context.table)
+    anyio.run(first.fetch, other, context.copied_table)
 
 
 @when("the second VM fetches the changes from the first VM")
@@ -54,7 +54,7 @@
 
 @given('a VM that knows the evacuation of failure domain "b"')
 def step_evacuation(context):
-    context.table = ORDERS
+    context.copied_table = ORDERS
     context.fleet = ReplicatingFleet(1)
     context.fleet.store.put(EVACUATION, b"{}")
     anyio.run(context.fleet.vms[0].read, ORDERS)
@@ -74,7 +74,7 @@
 
 @given('two VMs that know backend servers "s0"')
 def step_two_vms(context):
-    context.table = SERVERS
+    context.copied_table = SERVERS
     context.fleet = ReplicatingFleet(2)
     context.fleet.put_server("s0")
     for vm in context.fleet.vms:
