Send the whole table where a VM does not know all removals

Cause: a VM that had read a table from the store answered 'all changes after revision N' for revisions before that read. Rows that were removed before it were never known to it, so the removals were missing, the fetching VM moved its position past them and nobody sent them again.

Ruled out by the logs: late announcements (the removals at 77 and 78 reached all VMs, row 79 never did) and a gap between readers (two readers logged the removal after 0.3 s).

Now each copy of a table knows from which revision on its history is complete; a VM that asks for an earlier one gets the whole table, and removes what is missing in it. A VM that becomes a reader follows from its position instead of reading again, which keeps its history.

Fetches from other VMs have a log line of their own now.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/release_driver.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/release_driver.py
@@ -109,5 +109,6 @@
             state.value,
         )
         self.replicator.apply_rows([Row(key, value, revision)], "own write")
-        self.replicator.row_cache.advance_position(key.table, revision)
         self.steering.sync_releases(self.clock.now_ms())
+        # Another VM may have written a row before this one, so the table is read to pass it on.
+        await self._read_states()
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -15,7 +15,14 @@
 
 from berylbank._internal.utils.clock import Clock
 from berylbankd._internal.models.deployment import Deployment
-from berylbankd._internal.models.rows import HistoryLostError, Row, RowCache, RowStore, StoreError
+from berylbankd._internal.models.rows import (
+    HistoryLostError,
+    Row,
+    RowCache,
+    RowStore,
+    StoreError,
+    TableSnapshot,
+)
 from berylbankd._internal.peers.messages import Position, StateDigest, TableRows
 from berylbankd._internal.peers.transport import fetch_rows
 from berylbankd._internal.steering.membership import (
@@ -116,7 +123,13 @@
         self._report_changes(newer, source, now_ms)
 
     def rows_after(self, table: str, revision: int) -> TableRows:
-        """Return the rows of a table that changed after a revision, for another VM."""
+        """Return what changed in a table after a revision, for another VM.
+
+        If this VM does not know of all removals since then, it returns the complete table.
+        """
+        if not self.row_cache.knows_changes_after(table, revision):
+            snapshot = self.row_cache.snapshot(table)
+            return TableRows(table, snapshot.revision, snapshot.rows, complete=True)
         rows = tuple(self.row_cache.rows_after(table, revision))
         return TableRows(table, self.row_cache.position(table), rows)
 
@@ -171,7 +184,7 @@
                 scope.cancel()
 
     async def _follow_while_reader(self, table: str) -> None:
-        """Read a table and follow its changes whenever this VM is a reader."""
+        """Follow a table's changes whenever this VM is a reader, from the position it has."""
         pause_s = STORE_RETRY_MIN_S
         while True:
             if not self.is_reader:
@@ -179,8 +192,8 @@
                 continue
             with anyio.CancelScope() as self.reader_scopes[table]:
                 try:
-                    await self._read_table(table)
-                    pause_s = STORE_RETRY_MIN_S
+                    if not self.row_cache.position(table):
+                        await self._read_table(table)
                     await self._follow_changes(table)
                 except HistoryLostError:
                     logger.warning(
@@ -188,6 +201,8 @@
                     )
                     await self._reread_until_consistent(table)
                 except StoreError as error:
+                    if self.store_available:
+                        pause_s = STORE_RETRY_MIN_S
                     self._set_store_available(False, error.reason)
                     await anyio.sleep(pause_s * random.uniform(0.5, 1.5))
                     pause_s = min(STORE_RETRY_MAX_S, pause_s * 2)
@@ -261,6 +276,26 @@
                     newest[table] = max(revision, newest.get(table, 0))
         return newest
 
+    def _apply_fetched(self, fetched: TableRows, requested: Position, vm: str) -> None:
+        """Apply what another VM sent, unless this VM has meanwhile learned more than was sent."""
+        table = fetched.table
+        logger.info(
+            "fetched table {} from VM {}: {} rows after revision {}, up to {}, complete {}",
+            table,
+            vm,
+            len(fetched.rows),
+            requested.revision,
+            fetched.position,
+            fetched.complete,
+        )
+        if not fetched.complete:
+            self.apply_rows(fetched.rows, vm)
+            self.row_cache.advance_position(table, fetched.position)
+        elif fetched.position > self.row_cache.position(table):
+            snapshot = TableSnapshot(table, fetched.rows, fetched.position)
+            changed = self.row_cache.apply_snapshot(snapshot)
+            self._report_changes(changed, vm, self.clock.now_ms())
+
     async def _fetch_from_peers(self, table: str, revision: int) -> None:
         """Fetch rows up to a revision from another VM, or from the store if no VM sends them."""
         position = Position(table, self.row_cache.position(table))
@@ -269,8 +304,7 @@
             fetched = await fetch_rows(self.client, member.host, self.peer_port, position)
             if fetched is None:
                 continue
-            self.apply_rows(fetched.rows, member.vm)
-            self.row_cache.advance_position(table, fetched.position)
+            self._apply_fetched(fetched, position, member.vm)
             return
         logger.info("no VM returned table {} up to revision {}; reading the store", table, revision)
         try:
--- a/packages/berylbankd/src/berylbankd/_internal/models/rows.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/rows.py
@@ -84,12 +84,15 @@
 
     ``positions`` holds for each table the revision up to which no change is missing.
     ``inferred_removals`` are the rows considered removed because a snapshot did not contain them.
+    ``history_starts`` holds for each table the revision after which every change is known. A
+    snapshot does not tell which rows came and went before it, so the history starts there.
     """
 
     def __init__(self) -> None:
         self.rows: dict[RowKey, Row] = {}
         self.inferred_removals: set[RowKey] = set()
         self.positions: dict[str, int] = {}
+        self.history_starts: dict[str, int] = {}
 
     def apply(self, row: Row) -> bool:
         """Store a row if it is newer than the known one; return whether it was."""
@@ -124,6 +127,8 @@
             if self.apply(removed):
                 self.inferred_removals.add(known.key)
                 changed.append(removed)
+        if snapshot.revision > self.position(snapshot.table):
+            self.history_starts[snapshot.table] = snapshot.revision
         self.advance_position(snapshot.table, snapshot.revision)
         return changed
 
@@ -135,9 +140,18 @@
         """Return the revision up to which no change of a table is missing; 0 before any read."""
         return self.positions.get(table, 0)
 
+    def knows_changes_after(self, table: str, revision: int) -> bool:
+        """Tell whether :meth:`rows_after` has every change after a revision, removals included."""
+        return revision >= self.history_starts.get(table, 0)
+
     def rows_after(self, table: str, revision: int) -> list[Row]:
         """Return the rows of a table that changed after a revision, oldest first."""
         newer = [
             row for row in self.rows.values() if row.key.table == table and row.revision > revision
         ]
         return sorted(newer, key=lambda row: row.revision)
+
+    def snapshot(self, table: str) -> TableSnapshot:
+        """Return all rows of a table as known here."""
+        rows = tuple(row for row in self.rows_after(table, 0) if row.value is not None)
+        return TableSnapshot(table, rows, self.position(table))
--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -66,6 +66,7 @@
     message = _schema.Rows.new_message(
         table=table_rows.table,
         position=table_rows.position,
+        complete=table_rows.complete,
         rows=[
             {
                 "key": row.key.key,
@@ -89,7 +90,7 @@
         decompressor = zlib.decompressobj()
         message = _schema.Rows.from_bytes_packed(decompressor.decompress(data, MAX_ROWS_BYTES))
         rows = tuple(_decode_row(message.table, item) for item in message.rows)
-        return TableRows(message.table, message.position, rows)
+        return TableRows(message.table, message.position, rows, message.complete)
     except DECODE_ERRORS as error:
         raise _make_decode_error(error) from None
 
--- a/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
@@ -99,6 +99,7 @@
   table @0 :Text;
   position @1 :UInt64;
   rows @2 :List(Row);
+  complete @3 :Bool;
 }
 
 struct Row {
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -51,11 +51,16 @@
 
 
 class TableRows(NamedTuple):
-    """Rows of one table sent to another VM, and the sender's :class:`Position` in that table."""
+    """Rows of one table sent to another VM, and the sender's :class:`Position` in that table.
+
+    ``complete`` tells that these are all rows of the table, so that any other row was removed;
+    otherwise they are the changes since the requested position.
+    """
 
     table: str
     position: int
     rows: tuple[Row, ...]
+    complete: bool = False
 
 
 class Member(NamedTuple):
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -3,13 +3,21 @@
 import anyio
 from behave import given, then, when
 
+from berylbankd._internal.feeds.release_driver import ReleaseDriver
+from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.rows import RowKey
+from berylbankd._internal.models.types import ReleaseOrder, ReleaseState, ReleaseStatus
+from berylbankd._internal.steering.releases import Release
+from berylbankd._internal.steering.steering import Steering
 from tests.support.replication import (
+    NOW_MS,
     ORDERS,
     SERVERS,
+    FixedClock,
     ReplicatingFleet,
     run_random_changes,
 )
+from tests.support.steering import ROW_CODEC, make_deployment
 
 EVACUATION = RowKey(ORDERS, "evacuate/b")
 
@@ -114,3 +122,33 @@
         expected = {key.key for key in fleet.store.live_rows()}
         for vm in fleet.vms:
             assert server_ids(vm) == expected, (seed, vm.name, server_ids(vm), expected)
+
+
+@given("two VMs that know no release")
+def step_no_release(context):
+    context.fleet = ReplicatingFleet(2)
+    for vm in context.fleet.vms:
+        anyio.run(vm.read, ROW_CODEC.status_table)
+
+
+@when('the second VM\'s store gets the state of service "a", and the first VM writes that of "b"')
+def step_write_states(context):
+    first = context.fleet.vms[0]
+    status = ReleaseStatus("a", "v2", ReleaseState.SUCCEEDED)
+    context.fleet.store.put(ROW_CODEC.status_key("a"), ROW_CODEC.encode_status(status))
+    steering = Steering(make_deployment(first.name), ROW_CODEC, 1, NOW_MS)
+    steering.routing_state = first.routing_state
+    driver = ReleaseDriver(steering, first.replicator, context.fleet.store, FixedClock())
+    release = Release(ReleaseOrder("b", "v2", 10_000, 1), Bounds(), NOW_MS)
+    anyio.run(driver._write_state, release, ReleaseState.RUNNING)
+
+
+@when("the second VM fetches the release states from the first VM")
+def step_fetch_states(context):
+    first, second = context.fleet.vms
+    anyio.run(second.fetch, first, ROW_CODEC.status_table)
+
+
+@then('the second VM knows the release states of "a" and "b"')
+def step_know_states(context):
+    assert set(context.fleet.vms[1].routing_state.statuses) == {"a", "b"}
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -36,7 +36,6 @@
     def __init__(self):
         self.revision = 0
         self.changes = []
-        self.readers_allowed = True
 
     def put(self, key, value):
         self.revision += 1
@@ -50,6 +49,11 @@
         rows = tuple(row for row in self.live_rows().values() if row.key.table == table)
         return TableSnapshot(table, rows, self.revision)
 
+    async def write(self, key, value, expected_revision):
+        assert self.live_rows().get(key, Row(key, None, 0)).revision == expected_revision
+        self.put(key, value)
+        return self.revision
+
     def batch_after(self, table, revision):
         rows = [row for row in self.changes if row.key.table == table and row.revision > revision]
         newest = {row.key: row for row in rows}
--- a/tests/unit/feeds/replication.feature
+++ b/tests/unit/feeds/replication.feature
@@ -28,3 +28,9 @@
     When server "s1" is added and only the first VM follows the store
     And the second VM fetches the changes from the first VM
     Then 1 row was sent
+
+  Scenario: a release state that was written before a VM's own one reaches the VMs that fetch from it
+    Given two VMs that know no release
+    When the second VM's store gets the state of service "a", and the first VM writes that of "b"
+    And the second VM fetches the release states from the first VM
+    Then the second VM knows the release states of "a" and "b"
