--- a/tests/support/digest_fleet.py
+++ b/tests/support/digest_fleet.py
@@ -34,6 +34,7 @@
         )  # fmt: skip
         self.incarnation = incarnation
         self.in_flight = 1
+        self.reading = True
         self.other_loads = {}
         self.leaving = False
         self.release = None
@@ -50,7 +51,7 @@
         releases = (self.release,) if self.release is not None else ()
         loads = {SERVICE_KEY: self.in_flight, **self.other_loads}
         return OwnState(
-            True, self.leaving, True, {"t": 1}, loads, {SERVICE_KEY: 1.0}, {self.number: 1.0},
+            True, self.leaving, self.reading, {"t": 1}, loads, {SERVICE_KEY: 1.0}, {self.number: 1.0},
             releases,
         )  # fmt: skip
 
--- /dev/null
+++ b/tests/support/reader_fleet.py
@@ -0,0 +1,65 @@
+"""A simulated fleet whose store turns some VMs away while it serves the others."""
+
+from berylbankd._internal.steering.membership import choose_readers
+from tests.support.digest_fleet import TIME_STEP_MS, DigestFleet
+
+CHECK_INTERVAL_MS = 250
+
+
+class ReaderFleet(DigestFleet):
+    """VMs of which some read the store.
+
+    A VM in ``turned_away`` notices that a call failed after ``failure_ms``. ``tried`` are the VMs
+    that called the store while it turned VMs away, ``served`` those that were served then.
+    """
+
+    def __init__(self, vms, domains):
+        super().__init__(vms, domains)
+        self.turned_away = set()
+        self.failure_ms = 0
+        self.tried, self.served = set(), set()
+        for vm in self.vms:
+            vm.reading, vm.called_ms, vm.next_check_ms = True, None, 0
+
+    def run(self, seconds):
+        end_ms = self.now_ms + int(seconds * 1000)
+        while self.now_ms < end_ms:
+            super().run(TIME_STEP_MS / 1000)
+            for vm in self.running():
+                if self.now_ms >= vm.next_check_ms:
+                    vm.next_check_ms = self.now_ms + CHECK_INTERVAL_MS
+                    self.check_role(vm)
+                if vm.called_ms is not None and self.now_ms >= vm.called_ms + self.failure_ms:
+                    self.finish_call(vm)
+
+    def readers_seen_by(self, vm):
+        vm.membership.update(self.now_ms)
+        return choose_readers(vm.membership.live, vm.name, vm.reading)
+
+    def check_role(self, vm):
+        if vm.name not in self.readers_seen_by(vm):
+            vm.called_ms = None
+        elif vm.called_ms is None:
+            vm.called_ms = self.now_ms
+
+    def finish_call(self, vm):
+        vm.called_ms = self.now_ms
+        self.tried.add(vm.name)
+        is_served = vm.name not in self.turned_away
+        if is_served:
+            self.served.add(vm.name)
+        if vm.reading != is_served:
+            vm.reading = is_served
+            self.tick(vm, urgent=True)
+
+    def turn_away(self, share, seed_rng, failure_ms):
+        """Turn away both readers and a share of the other VMs."""
+        readers = {name for vm in self.vms for name in self.readers_seen_by(vm)}
+        others = [vm.name for vm in self.vms if vm.name not in readers]
+        self.turned_away = readers | set(seed_rng.sample(others, int(share * len(others))))
+        self.failure_ms = failure_ms
+        self.tried, self.served = set(), set()
+
+    def serve_all(self):
+        self.turned_away = set()
+        self.failure_ms = 0
--- /dev/null
+++ b/tests/unit/feeds/readers.feature
@@ -0,0 +1,15 @@
+Feature: VMs that read the store for the fleet
+
+  # Diop grown inc3: each pair of readers that the store turned away was replaced a second later.
+  Scenario Outline: a store that <fault> the readers and a third of the VMs is soon read by another one of <vms> VMs
+    Given <vms> VMs in 9 failure domains that read a store
+    When the store <fault> both readers and 35% of the other VMs, <times> times
+    Then a VM that is served reads it within <seconds> s each time
+    And at most <tried> VMs call the store each time
+
+    Examples:
+      | vms | fault                         | times | seconds | tried |
+      | 12  | resets the connections of     | 8     | 1.0     | 12    |
+      | 82  | resets the connections of     | 8     | 1.0     | 24    |
+      | 195 | resets the connections of     | 2     | 1.0     | 24    |
+      | 82  | no longer answers             | 3     | 2.0     | 24    |
