Replace readers of the store at once, several at a time

Cause: when the store turned both readers away, it was told with their next digests, through collectors, to VMs that checked their role every 0.25 s; the next two readers were turned away as well, and the same round began again. Waits one after the other added up beyond the time in which a change must be in force.

Now a VM that the store stops answering tells the next readers directly and at once; for each failed VM within 3 s three more try, up to six; a VM takes the role when it hears of it. The first readers stand in different regions and failure domains, so that losing one leaves a reader. Same cause elsewhere: a VM that fetches rows waited 0.8 s for each of two silent sources, one table after the other, and then for the store; the next source is asked after 0.35 s now, and tables are fetched at the same time.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -23,12 +23,11 @@
     StoreError,
     TableSnapshot,
 )
-from berylbankd._internal.peers.messages import Position, StateDigest, TableRows
+from berylbankd._internal.peers.messages import Member, Position, StateDigest, TableRows
 from berylbankd._internal.peers.transport import fetch_rows
 from berylbankd._internal.steering.membership import (
     LISTED_TIMEOUT_MS,
     Membership,
-    choose_readers,
     compute_reader_rank,
     rank_row_sources,
 )
@@ -45,8 +44,11 @@
 # Pause before a failed store call is repeated; it doubles with each failure up to the maximum.
 STORE_RETRY_MIN_S = 0.1
 STORE_RETRY_MAX_S = 1.0
-# VMs that are asked for newer rows before the store is read.
+# VMs that are asked for newer rows before the store is read, and how long each is waited for before
+# the next one is asked as well. Waiting for each one's timeout would exceed the time limit for
+# applying changes (``Bounds.apply_ms``).
 MAX_ROW_SOURCES = 2
+NEXT_SOURCE_DELAY_S = 0.35
 # How often a VM checks whether it is a reader.
 READER_CHECK_INTERVAL_S = 0.25
 # After its start a VM waits for digests of other VMs before it becomes a reader: at least the
@@ -75,7 +77,9 @@
 class RowReplicator:
     """This VM's copy of the rows, and the tasks that keep it up to date.
 
-    ``on_change`` is called after changed rows have been applied to the routing state.
+    ``on_change`` is called after changed rows have been applied to the routing state, and
+    ``on_store_lost`` when the store stops answering this VM. ``may_read`` is set once this VM has
+    been up for long enough to know the other readers.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         clock: Clock,
         peer_port: int,
         on_change: Callable[[], None],
+        on_store_lost: Callable[[], None],
     ) -> None:
         self.store = store
         self.client = client
@@ -96,9 +101,11 @@
         self.clock = clock
         self.peer_port = peer_port
         self.on_change = on_change
+        self.on_store_lost = on_store_lost
         self.row_cache = RowCache()
         self.store_available = True
-        self.is_reader = False
+        self.is_reader = self.may_read = False
+        self.became_reader = anyio.Event()
         self.reader_scopes: dict[str, anyio.CancelScope] = {}
         self.newer_position_reported = anyio.Event()
 
@@ -112,6 +119,7 @@
             if not self.membership.deployment.first_start:
                 group.start_soon(self._read_after_restart)
             await anyio.sleep(compute_reader_start_delay_s(self.membership.deployment))
+            self.may_read = True
             while True:
                 self._update_reader_role()
                 await anyio.sleep(READER_CHECK_INTERVAL_S)
@@ -133,6 +141,19 @@
         rows = tuple(self.row_cache.rows_after(table, revision))
         return TableRows(table, self.row_cache.position(table), rows)
 
+    def handle_digest(self, digest: StateDigest) -> None:
+        """Take over if a reader states that the store does not answer it, and fetch newer rows."""
+        is_reading = all(
+            item.reading
+            for domain in digest.domains
+            for item in domain.members
+            if item.vm == digest.vm
+        )
+        if not is_reading and self.may_read and not self.is_reader:
+            self.membership.update(self.clock.now_ms())
+            self._update_reader_role()
+        self.check_positions(digest)
+
     def check_positions(self, digest: StateDigest) -> None:
         """Request a fetch if another VM has a newer position in a table than this one."""
         for table, revision in digest.positions:
@@ -170,7 +191,7 @@
                 )
 
     def _update_reader_role(self) -> None:
-        readers = choose_readers(self.membership.live, self.membership.vm, self.store_available)
+        readers = self.membership.choose_readers(self.clock.now_ms())
         is_reader = self.membership.vm in readers
         if is_reader != self.is_reader:
             logger.info(
@@ -179,17 +200,18 @@
                 sorted(readers),
             )
         self.is_reader = is_reader
-        if not is_reader:
-            for scope in self.reader_scopes.values():
-                scope.cancel()
+        if is_reader:
+            self.became_reader.set()
+            return
+        self.became_reader = anyio.Event()
+        for scope in self.reader_scopes.values():
+            scope.cancel()
 
     async def _follow_while_reader(self, table: str) -> None:
         """Follow a table's changes whenever this VM is a reader, from the position it has."""
         pause_s = STORE_RETRY_MIN_S
         while True:
-            if not self.is_reader:
-                await anyio.sleep(READER_CHECK_INTERVAL_S)
-                continue
+            await self.became_reader.wait()
             with anyio.CancelScope() as self.reader_scopes[table]:
                 try:
                     if not self.row_cache.position(table):
@@ -253,6 +275,7 @@
             logger.warning(
                 "store is unavailable: {}; serving continues with the rows known so far", reason
             )
+            self.on_store_lost()
 
     async def _fetch_newer_rows(self) -> None:
         """Fetch rows from other VMs whenever a digest reports a newer position."""
@@ -261,8 +284,9 @@
             self.newer_position_reported = anyio.Event()
             if self.is_reader:
                 await anyio.sleep(READER_FETCH_DELAY_S)
-            for table, revision in self._find_newer_positions().items():
-                await self._fetch_from_peers(table, revision)
+            async with anyio.create_task_group() as group:
+                for table, revision in self._find_newer_positions().items():
+                    group.start_soon(self._fetch_from_peers, table, revision)
             await anyio.sleep(AFTER_FETCH_PAUSE_S)
 
     def _find_newer_positions(self) -> dict[str, int]:
@@ -297,17 +321,35 @@
             self._report_changes(changed, vm, self.clock.now_ms())
 
     async def _fetch_from_peers(self, table: str, revision: int) -> None:
-        """Fetch rows up to a revision from another VM, or from the store if no VM sends them."""
+        """Fetch rows up to a revision from another VM, or from the store if no VM sends them.
+
+        A source that does not answer soon is given up only when another one has answered.
+        """
         position = Position(table, self.row_cache.position(table))
         sources = rank_row_sources(table, revision, self.membership, self.clock.now_ms())
-        for member in sources[:MAX_ROW_SOURCES]:
-            fetched = await fetch_rows(self.client, member.host, self.peer_port, position)
-            if fetched is None:
-                continue
-            self._apply_fetched(fetched, position, member.vm)
+        async with anyio.create_task_group() as group:
+            for member in sources[:MAX_ROW_SOURCES]:
+                failed = anyio.Event()
+                group.start_soon(self._fetch_from, member, position, group.cancel_scope, failed)
+                with anyio.move_on_after(NEXT_SOURCE_DELAY_S):
+                    await failed.wait()
+            logger.info(
+                "no VM returned table {} up to revision {} yet; reading the store", table, revision
+            )
+            try:
+                await self._read_table(table)
+            except StoreError as error:
+                self._set_store_available(False, error.reason)
+            else:
+                group.cancel_scope.cancel()
+
+    async def _fetch_from(
+        self, member: Member, position: Position, scope: anyio.CancelScope, failed: anyio.Event
+    ) -> None:
+        """Fetch rows from one VM; cancel the other attempts if that succeeds."""
+        fetched = await fetch_rows(self.client, member.host, self.peer_port, position)
+        if fetched is None:
+            failed.set()
             return
-        logger.info("no VM returned table {} up to revision {}; reading the store", table, revision)
-        try:
-            await self._read_table(table)
-        except StoreError as error:
-            self._set_store_available(False, error.reason)
+        self._apply_fetched(fetched, position, member.vm)
+        scope.cancel()
--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -315,6 +315,10 @@
         report = self._make_report(own)
         self.announcement_due = False
         outgoing: list[OutgoingDigest] = []
+        if self.membership.record_store_state(own.reading, now_ms):
+            # The next readers are told directly: collectors would pass it on too late.
+            next_readers = self.membership.hosts_of_next_readers(now_ms)
+            outgoing.append(OutgoingDigest(report, tuple(next_readers)))
         if self.membership.full_mesh:
             self.own_report = report
             hosts = self._mesh_hosts()
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -6,7 +6,8 @@
 no election, so a wrong view costs messages and never a rule.
 """
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.peers.messages import (
@@ -51,6 +52,11 @@
 MAX_HOST_ATTEMPTS = 12
 # Number of VMs that read the store for the whole fleet; the second covers a failure of the first.
 STORE_READER_COUNT = 2
+# The store can turn many VMs away while it serves others. For each VM whose call failed within the
+# window, more of the next ones try at once, as trying them one after the other takes too long.
+READERS_PER_FAILURE = 3
+MAX_EXTRA_READERS = 6
+READ_FAILURE_WINDOW_MS = 3_000
 NEVER_MS = -(10**9)
 
 
@@ -58,7 +64,8 @@
     """Another VM: its newest state, and when this VM last heard of it.
 
     ``heard_ms`` is the time of its own last digest, ``listed_ms`` of the last one that listed it as
-    live, ``live_ms`` when it was last known to be live.
+    live, ``live_ms`` when it was last known to be live. ``read_failed_ms`` is when it was first
+    known that the store did not answer it any more.
     """
 
     def __init__(self, member: Member) -> None:
@@ -66,6 +73,7 @@
         self.heard_ms = NEVER_MS
         self.listed_ms = NEVER_MS
         self.live_ms = NEVER_MS
+        self.read_failed_ms = NEVER_MS
 
 
 class SourcePositions:
@@ -85,7 +93,8 @@
     the fleet is small enough for every VM to send its state to all others. ``collectors`` are the
     VMs that this VM's failure domain reports to, the primary one first. ``leaving`` is set while
     this VM is stopping. ``hears_others`` is false while nothing arrives from any of the known VMs,
-    so that this VM's view of the fleet is void.
+    so that this VM's view of the fleet is void. ``reads_store`` is false since ``read_failed_ms`` if
+    the store does not answer this VM.
     """
 
     def __init__(self, deployment: Deployment) -> None:
@@ -107,6 +116,8 @@
         self.leaving = False
         self.received_ms = 0
         self.hears_others = True
+        self.reads_store = True
+        self.read_failed_ms = NEVER_MS
 
     # Digests of other VMs
 
@@ -164,10 +175,14 @@
         known = self.known.get(member.vm)
         if known is None:
             known = self.known[member.vm] = KnownMember(member)
+            if not member.reading:
+                known.read_failed_ms = now_ms
         version = (member.incarnation, member.sequence)
         known_version = (known.member.incarnation, known.member.sequence)
         # Versions go back when a VM's clock was set back before it restarted.
         if version >= known_version or not self._is_heard(known, now_ms):
+            if known.member.reading and not member.reading:
+                known.read_failed_ms = now_ms
             known.member = member
         if heard:
             known.heard_ms = now_ms
@@ -349,6 +364,43 @@
             receivers += [member.vm for member in recent]
         return [vm for vm in dict.fromkeys(receivers) if vm != self.vm]
 
+    # Readers of the store
+
+    def record_store_state(self, reads_store: bool, now_ms: int) -> bool:
+        """Store whether the store answers this VM; return whether it has just stopped doing so."""
+        has_failed = self.reads_store and not reads_store
+        if has_failed:
+            self.read_failed_ms = now_ms
+        self.reads_store = reads_store
+        return has_failed
+
+    def choose_readers(self, now_ms: int) -> set[str]:
+        """Return the VMs that read the store, by a ranking that is the same on all VMs.
+
+        A VM that gets no answer from the store is left out of the ranking while another VM can read
+        it. It keeps trying to read the store in any case.
+        """
+        candidates = {
+            member.vm: member.failure_domain
+            for member in self.live
+            if member.reading and not member.leaving
+        }
+        if self.reads_store or not candidates:
+            candidates[self.vm] = self.deployment.failure_domain
+        failure_times_ms = [known.read_failed_ms for known in self.known.values()]
+        failures = sum(
+            now_ms - failed_ms < READ_FAILURE_WINDOW_MS
+            for failed_ms in (*failure_times_ms, self.read_failed_ms)
+        )
+        count = STORE_READER_COUNT + min(MAX_EXTRA_READERS, READERS_PER_FAILURE * failures)
+        readers = set(rank_readers(candidates, self.deployment.regions)[:count])
+        return readers if self.reads_store else readers | {self.vm}
+
+    def hosts_of_next_readers(self, now_ms: int) -> list[str]:
+        """Return the hosts of the other readers, to tell them that this one has failed."""
+        hosts = [self.host_of(vm) for vm in sorted(self.choose_readers(now_ms) - {self.vm})]
+        return [host for host in hosts if host is not None]
+
     # Hosts
 
     def next_shared_hosts(self) -> tuple[str, ...]:
@@ -398,18 +450,29 @@
     return hash_to_fraction("reader", vm)
 
 
-def choose_readers(live_members: Iterable[Member], vm: str, store_available: bool) -> set[str]:
-    """Return the VMs that read the store, by a ranking that is the same on all VMs.
+def rank_readers(candidates: Mapping[str, str], regions: Mapping[str, str]) -> list[str]:
+    """Rank VMs for reading the store, so that the first ones share neither region nor domain.
 
-    A VM that gets no answer from the store is left out of the ranking while a peer can read it. It
-    keeps trying to read the store in any case.
+    The loss of a failure domain or a region then leaves a reader. ``candidates`` maps VMs to their
+    failure domains.
     """
-    candidates = [member.vm for member in live_members if member.reading and not member.leaving]
-    if store_available or not candidates:
-        candidates.append(vm)
-    ranked = sorted(candidates, key=compute_reader_rank)
-    readers = set(ranked[:STORE_READER_COUNT])
-    return readers if store_available else readers | {vm}
+    ranked: list[str] = []
+    used_regions: Counter[str] = Counter()
+    used_domains: Counter[str] = Counter()
+    remaining = sorted(candidates, key=compute_reader_rank)
+    while remaining and len(ranked) < STORE_READER_COUNT + MAX_EXTRA_READERS:
+        vm = min(
+            remaining,
+            key=lambda name: (
+                used_regions[regions.get(candidates[name], "")],
+                used_domains[candidates[name]],
+            ),
+        )
+        remaining.remove(vm)
+        ranked.append(vm)
+        used_regions[regions.get(candidates[vm], "")] += 1
+        used_domains[candidates[vm]] += 1
+    return ranked
 
 
 def rank_row_sources(
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -109,6 +109,7 @@
             clock=self.clock,
             peer_port=deployment.peer_port,
             on_change=self._on_rows_changed,
+            on_store_lost=lambda: self.digest_due.set(),
         )
         self.release_driver = ReleaseDriver(self.steering, self.row_replicator, store, self.clock)
         self.vm_registry = VmRegistry(
@@ -244,7 +245,7 @@
                 self.peer_transport.send_digest(answer, hosts)
         if self.steering.digest_exchange.announcement_due:
             self.digest_due.set()
-        self.row_replicator.check_positions(digest)
+        self.row_replicator.handle_digest(digest)
 
     def _on_rows_changed(self) -> None:
         self.steering.sync_releases(self.clock.now_ms())
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -7,6 +7,7 @@
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.rows import RowKey
 from berylbankd._internal.models.types import ReleaseOrder, ReleaseState, ReleaseStatus
+from berylbankd._internal.steering.placement import hash_to_fraction
 from berylbankd._internal.steering.releases import Release
 from berylbankd._internal.steering.steering import Steering
 from tests.support.replication import (
@@ -15,6 +16,7 @@
     SERVERS,
     FixedClock,
     ReplicatingFleet,
+    make_positions_digest,
     run_random_changes,
 )
 from tests.support.steering import ROW_CODEC, make_deployment
@@ -152,3 +154,52 @@
 @then('the second VM knows the release states of "a" and "b"')
 def step_know_states(context):
     assert set(context.fleet.vms[1].routing_state.statuses) == {"a", "b"}
+
+
+@given("a VM that fetches two tables, and whose {which} silent")
+def step_silent_sources(context, which):
+    context.fleet = ReplicatingFleet(3)
+    for vm in context.fleet.vms:
+        for table in (SERVERS, ORDERS):
+            anyio.run(vm.read, table)
+    first, *sources = context.fleet.vms
+    ranked = sorted(sources, key=lambda vm: hash_to_fraction(first.name, vm.name))
+    silent = ranked[:1] if which == "first source is" else ranked
+    context.fleet.silent_hosts = {vm.host for vm in silent}
+
+
+@when("both tables change, and the VM hears of their new positions")
+def step_hear_of_changes(context):
+    fleet = context.fleet
+    fleet.put_server("s1")
+    fleet.store.put(EVACUATION, b"{}")
+    first, *sources = fleet.vms
+    for source in sources:
+        for table in (SERVERS, ORDERS):
+            source.follow(table)
+        positions = source.replicator.row_cache.positions
+        first.membership.record_digest(make_positions_digest(source, positions), NOW_MS)
+    fleet.store.reads = 0
+    first.replicator.newer_position_reported.set()
+
+    async def fetch():
+        started_s = anyio.current_time()
+        with anyio.move_on_after(4):
+            async with anyio.create_task_group() as group:
+                group.start_soon(first.replicator._fetch_newer_rows)
+                while not (server_ids(first) and first.routing_state.evacuated_domains):
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+        context.took_s = anyio.current_time() - started_s
+
+    anyio.run(fetch)
+
+
+@then("it has both changes within {seconds:f} s")
+def step_changes_soon(context, seconds):
+    assert context.took_s <= seconds, context.took_s
+
+
+@then("the store was not called")
+def step_store_not_called(context):
+    assert context.fleet.store.reads == 0
--- a/tests/unit/feeds/replication.feature
+++ b/tests/unit/feeds/replication.feature
@@ -34,3 +34,15 @@
     When the second VM's store gets the state of service "a", and the first VM writes that of "b"
     And the second VM fetches the release states from the first VM
     Then the second VM knows the release states of "a" and "b"
+
+  # Each silent source was waited for in turn, one table after the other.
+  Scenario: a VM whose nearest sources are silent gets its rows from the store soon
+    Given a VM that fetches two tables, and whose two sources are silent
+    When both tables change, and the VM hears of their new positions
+    Then it has both changes within 1.2 s
+
+  Scenario: a VM whose nearest source is silent gets its rows from the next one, without a call to the store
+    Given a VM that fetches two tables, and whose first source is silent
+    When both tables change, and the VM hears of their new positions
+    Then it has both changes within 0.8 s
+    And the store was not called
