Start requests a few at a time, and none whose caller has left

Cause: the event loop accepted and read hundreds of connections per pass and started all of their requests; each pass took most of a second. A caller's close waited unread behind its own request, which was dispatched first. Ruled out: slow cancellation (it would log more than 500 ms) and waits for tokens (durations are short).

Now at most 8 requests are started per pass of the event loop, so that passes are short; the others wait, the newest first once the oldest has waited for 50 ms, and after an eighth of their caller's deadline they are refused with 503, which is true. Before a request is handled, and again right before it is sent, the VM asks the socket whether its caller is still there. That covers all waits in between: tokens, connections, earlier attempts. Still open: the interface on hypercorn (entry/) does not end a request whose caller left before the response began.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import os
+import select
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -20,6 +23,45 @@
 # for part of the idle time that the configuration gives them.
 KEEP_ALIVE_S = 61
 STOP_POLL_INTERVAL_S = 0.02
+# Name under which the state of an ASGI scope holds a function that tells whether the caller is
+# still connected.
+IS_CONNECTED = "is_connected"
+
+
+class CallerProtocol(HttpToolsProtocol):
+    """A connection of a caller, which requests can ask whether the caller has closed it."""
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        super().on_message_begin()
+        self.scope["state"][IS_CONNECTED] = self.is_connected
+
+    def is_connected(self) -> bool:
+        """Tell whether the caller is connected, also if the event loop has not read its close."""
+        if self.transport.is_closing():
+            return False
+        return not has_hung_up(self.transport.get_extra_info("socket").fileno())
+
+
+def has_hung_up(file_descriptor: int) -> bool:
+    """Tell whether the other end of a TCP connection has closed it."""
+    poll = select.poll()
+    poll.register(file_descriptor, select.POLLIN | select.POLLRDHUP)
+    events = poll.poll(0)
+    if not events:
+        return False
+    if events[0][1] & ~select.POLLIN:
+        return True
+    try:
+        duplicate = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, 0, fileno=os.dup(file_descriptor)
+        )
+        with duplicate:
+            return not duplicate.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
 
 
 class HttpServer:
@@ -70,5 +112,5 @@
         while self.server_state.tasks and asyncio.get_running_loop().time() < deadline_s:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
 
-    def _make_protocol(self) -> HttpToolsProtocol:
-        return HttpToolsProtocol(config=self.config, server_state=self.server_state, app_state={})
+    def _make_protocol(self) -> CallerProtocol:
+        return CallerProtocol(config=self.config, server_state=self.server_state, app_state={})
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -10,6 +10,7 @@
 from berylbankd._internal.ingress.codec import HeaderCodec
 from berylbankd._internal.ingress.dispatch import BufferedResponse, Dispatcher, RequestAttempts
 from berylbankd._internal.ingress.exchange import CallerDisconnectedError, CallerExchange
+from berylbankd._internal.ingress.intake import RequestIntake
 from berylbankd._internal.ingress.rate_limiter import RateLimiter
 from berylbankd._internal.ingress.request_faults import RequestFaults
 from berylbankd._internal.ingress.request_log import RequestLog, RequestRecord
@@ -24,6 +25,8 @@
 # Used if the caller sent no deadline, so that the route's timeout applies.
 DEFAULT_CALLER_DEADLINE_MS = 3_600_000
 STARTUP_RETRY_AFTER_S = 0.5
+# Scale of the retry delays after a refusal for lack of processor time.
+OVERLOAD_RETRY_MS = 500
 
 
 class AdmittedRequest(NamedTuple):
@@ -55,6 +58,7 @@
         self.request_log = request_log
         self.dispatcher = Dispatcher(steering, codec, clock)
         self.request_faults = RequestFaults()
+        self.intake = RequestIntake(clock)
         self.running_requests = 0
         self.deadline_scopes: set[anyio.CancelScope] = set()
 
@@ -83,7 +87,20 @@
         except Exception as error:  # a fault in the code must not leave the caller without answer
             await self._answer_after_fault(exchange, attempts, error)
 
+    async def run(self) -> None:
+        """Start requests that wait for processor time, until cancelled."""
+        await self.intake.run()
+
     async def _serve_exchange(self, exchange: CallerExchange, attempts: RequestAttempts) -> None:
+        deadline_ms = exchange.metadata.deadline_ms or DEFAULT_CALLER_DEADLINE_MS
+        if not await self.intake.admit(exchange.arrived_ms, deadline_ms):
+            retry_after_s = self.steering.retry_delays.next_delay_ms(OVERLOAD_RETRY_MS) / 1000
+            refusal = Refusal(RefusalKind.VM_OVERLOADED, retry_after_s=retry_after_s)
+            await self._send_result(exchange, attempts, refusal)
+            return
+        if not exchange.is_connected():
+            await self._end_without_caller(exchange, attempts)
+            return
         admitted = await self._admit(exchange)
         if isinstance(admitted, Refusal):
             await self._send_result(exchange, attempts, admitted)
@@ -173,10 +190,16 @@
         )
         result = await self._dispatch_until_deadline(exchange, pick_request, deadline_ms, attempts)
         if result is None:
-            self._log_request(exchange, attempts, 0, "caller_gone")
+            await self._end_without_caller(exchange, attempts)
             return
         await self._send_result(exchange, attempts, result)
 
+    async def _end_without_caller(
+        self, exchange: CallerExchange, attempts: RequestAttempts
+    ) -> None:
+        self._log_request(exchange, attempts, 0, "caller_gone")
+        await exchange.read_close()
+
     async def _dispatch_until_deadline(
         self,
         exchange: CallerExchange,
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -27,7 +27,7 @@
     HeaderList,
     ResponseMetadata,
 )
-from berylbankd._internal.ingress.exchange import CallerExchange
+from berylbankd._internal.ingress.exchange import CallerDisconnectedError, CallerExchange
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 from berylbankd._internal.steering.picks import Pick, PickRequest
 from berylbankd._internal.steering.steering import Steering
@@ -127,7 +127,8 @@
 
         ``deadline_ms`` is a time of the clock; ``attempts`` is updated after each attempt.
 
-        :raises CallerDisconnectedError: when the caller closes its connection during its body.
+        :raises CallerDisconnectedError: when the caller closes its connection during its body, or
+            has closed it before the request is sent.
         """
         for attempt in range(max(1, pick_request.route.max_attempts)):
             if not self._is_key_valid(exchange):
@@ -267,6 +268,9 @@
                 # The connection carried nothing; the next attempt checks the key again.
                 reusable = True
                 return AttemptOutcome(failure=AttemptFailure.NOT_SENT)
+            if not exchange.is_connected():
+                reusable = True
+                raise CallerDisconnectedError
             attempts.server_entries.append(
                 f"{pick.server.registration.id} rank {pick.rank} load {pick.load}"
             )
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from berylbankd._internal.http_server import IS_CONNECTED
 from berylbankd._internal.ingress.codec import HeaderCodec, HeaderList, RequestMetadata
 from berylbankd._internal.models.types import Organisation, Route
 from berylbankd._internal.refusals import Refusal
@@ -13,11 +14,18 @@
 MAX_REPLAYABLE_BODY_BYTES = 262_144
 # Longest wait for the next chunk of a request body.
 BODY_CHUNK_TIMEOUT_S = 5.0
+# The event loop reads the close of a connection in its next passes.
+READ_CLOSE_TIMEOUT_S = 1.0
 
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
 
 
+def assume_connected() -> bool:
+    """Stand in for the check of connections where the server offers none."""
+    return True
+
+
 class CallerDisconnectedError(Exception):
     """The caller closed its connection."""
 
@@ -25,8 +33,9 @@
 class CallerExchange:
     """A caller's request with its body; sends the response.
 
-    ``body_complete`` is set once the whole body has been received; ``route`` and ``organisation``
-    are set when the request is admitted. ``response_started`` is set once the status was sent.
+    ``is_connected`` tells whether the caller is still there. ``body_complete`` is set once the
+    whole body has been received; ``route`` and ``organisation`` are set when the request is
+    admitted. ``response_started`` is set once the status was sent.
     """
 
     def __init__(
@@ -40,6 +49,9 @@
         self.headers: HeaderList = scope["headers"]
         self.receive = receive
         self.send = send
+        self.is_connected: Callable[[], bool] = scope.get("state", {}).get(
+            IS_CONNECTED, assume_connected
+        )
         self.arrived_ms = now_ms
         self.metadata: RequestMetadata = codec.decode_request(self.headers)
         self.body = b""
@@ -82,6 +94,12 @@
             if event["type"] == "http.disconnect":
                 return
 
+    async def read_close(self) -> None:
+        """Wait until the server has read that the caller closed its connection."""
+        self.body_complete = True
+        with anyio.move_on_after(READ_CLOSE_TIMEOUT_S):
+            await self.wait_for_disconnect()
+
     async def start_response(self, status: int, headers: HeaderList) -> None:
         """Send the status and the headers of the response."""
         if self.close_connection:
--- a/packages/berylbankd/src/berylbankd/_internal/refusals.py
+++ b/packages/berylbankd/src/berylbankd/_internal/refusals.py
@@ -25,6 +25,7 @@
     NO_CONFIGURATION = "no_configuration"
     OVER_RATE = "over_rate"
     NO_SLOT = "no_slot"
+    VM_OVERLOADED = "vm_overloaded"
     KEY_WITHDRAWN = "key_withdrawn"
     NO_BACKEND = "no_backend"
     BODY_TOO_LARGE = "body_too_large"
@@ -79,6 +80,9 @@
     RefusalKind.NO_SLOT: RefusalTemplate(
         503, "every backend server in reach is busy", "retry after a pause"
     ),
+    RefusalKind.VM_OVERLOADED: RefusalTemplate(
+        503, "this VM has more requests than processor time", "retry after a pause at another VM"
+    ),
     RefusalKind.KEY_WITHDRAWN: RefusalTemplate(
         401, "the key was withdrawn while the request waited", "ask your operator for a key"
     ),
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -93,8 +93,8 @@
     the fleet is small enough for every VM to send its state to all others. ``collectors`` are the
     VMs that this VM's failure domain reports to, the primary one first. ``leaving`` is set while
     this VM is stopping. ``hears_others`` is false while nothing arrives from any of the known VMs,
-    so that this VM's view of the fleet is void. ``reads_store`` is false since ``read_failed_ms`` if
-    the store does not answer this VM.
+    so that this VM's view of the fleet is void. ``reads_store`` is false since ``read_failed_ms``
+    if the store does not answer this VM.
     """
 
     def __init__(self, deployment: Deployment) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -109,7 +109,7 @@
             clock=self.clock,
             peer_port=deployment.peer_port,
             on_change=self._on_rows_changed,
-            on_store_lost=lambda: self.digest_due.set(),
+            on_store_lost=self._on_store_lost,
         )
         self.release_driver = ReleaseDriver(self.steering, self.row_replicator, store, self.clock)
         self.vm_registry = VmRegistry(
@@ -132,6 +132,7 @@
         group.start_soon(self._watch_signals)
         tasks: dict[str, Callable[[], Awaitable[None]]] = {
             "logs": self.logs.run,
+            "requests": self.caller_app.run,
             "settings": self._watch_settings,
             "datagrams": self.peer_transport.run,
             "digests": self._send_digests,
@@ -257,6 +258,9 @@
             # The VMs that get their rows from this one must learn of them at once.
             self.digest_due.set()
 
+    def _on_store_lost(self) -> None:
+        self.digest_due.set()
+
     async def _send_digests(self) -> None:
         """Send digests at an interval with jitter, and at once when rows have changed."""
         last_ms, live_count, urgent = self.clock.now_ms(), 0, True
