Send nothing to servers that say that they leave, or that they want a pause

Both are decoded by the platform's header codec into one record, are taken only from responses that are the picked server's own (not from a 421), and are checked at the pick and again right before the send. Neither is weakened by the rule that uses ejected servers again when most are ejected. A new start under the same id clears them; a changed registration does not. Callers refused while all servers pause are told to return after the first pause ends.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/codec.py
@@ -5,6 +5,8 @@
 
 from typing import NamedTuple, Protocol
 
+from berylbankd._internal.models.types import ServerNotices
+
 HeaderList = list[tuple[bytes, bytes]]
 
 
@@ -44,6 +46,7 @@
     load: ReportedLoad | None
     idle_timeout_ms: int | None
     closes_connection: bool
+    notices: ServerNotices
 
 
 class DispatchMetadata(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -214,7 +214,8 @@
             if attempts.last_failure is AttemptFailure.NOT_SENT
             else RefusalKind.NO_SLOT
         )
-        return Refusal(kind, retry_after_s=self.steering.retry_after_s(service))
+        retry_after_s = self.steering.retry_after_s(service, self.clock.now_ms())
+        return Refusal(kind, retry_after_s=retry_after_s)
 
     async def _dispatch_to_server(
         self,
@@ -309,7 +310,11 @@
         """Tell whether the server may still get requests, which can change while connecting."""
         routing_state = self.steering.routing_state
         current = routing_state.servers.get(pick.server.registration.id)
-        return current is pick.server and routing_state.is_usable(current)
+        return (
+            current is pick.server
+            and routing_state.is_usable(current)
+            and not current.is_paused(self.clock.now_ms())
+        )
 
     async def _send_and_receive(
         self,
@@ -442,6 +447,10 @@
     def _apply_response_metadata(
         self, pick: Pick, connection: BackendConnection, response_metadata: ResponseMetadata
     ) -> None:
+        if response_metadata.misdirected:
+            # The response comes from another server than the one that was picked.
+            return
+        self.steering.record_notices(pick.server, response_metadata.notices, self.clock.now_ms())
         if response_metadata.load is not None:
             running, waiting, _ = response_metadata.load
             pick.server.record_load_report(running, waiting, self.clock.now_ms())
--- a/packages/berylbankd/src/berylbankd/_internal/models/types.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/types.py
@@ -119,6 +119,17 @@
     started_ms: int
 
 
+class ServerNotices(NamedTuple):
+    """What a backend server says of itself in a response.
+
+    ``leaving`` means that it will stop. ``pause_ms`` is how long it wants no requests from this VM,
+    None if it does not say so.
+    """
+
+    leaving: bool = False
+    pause_ms: int | None = None
+
+
 class ReleaseOrder(NamedTuple):
     """An operator's order to move a service to a version; ``revision`` identifies the order."""
 
--- a/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the HTTP headers between callers, VMs and backend servers."""
 
+import math
 import re
 from http.cookies import CookieError, SimpleCookie
 
@@ -11,6 +12,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from berylbankd._internal.models.types import ServerNotices
 from berylbankd._internal.platform import names
 
 # Headers of a caller's request that are not forwarded: those that berylbank sets itself, and those
@@ -25,6 +27,7 @@
     }
 )
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -64,6 +67,14 @@
             load=_parse_load(by_name.get(names.LOAD_HEADER)),
             idle_timeout_ms=_parse_idle_timeout_ms(by_name.get(b"keep-alive")),
             closes_connection=b"close" in by_name.get(b"connection", b"").lower(),
+            notices=ServerNotices(
+                leaving=by_name.get(names.LEAVING_HEADER, b"").strip() == b"1",
+                pause_ms=(
+                    _parse_seconds(by_name.get(b"retry-after"))
+                    if status == UNAVAILABLE_STATUS
+                    else None
+                ),
+            ),
         )
 
     def encode_response(self, headers: HeaderList) -> HeaderList:
@@ -88,6 +99,15 @@
     return int(value)
 
 
+def _parse_seconds(value: bytes | None) -> int | None:
+    """Return a number of seconds in milliseconds, or None if there is no valid one."""
+    try:
+        milliseconds = float(value or b"") * 1000
+    except ValueError:
+        return None
+    return int(milliseconds) if math.isfinite(milliseconds) and milliseconds >= 0 else None
+
+
 def _parse_load(value: bytes | None) -> ReportedLoad | None:
     parts = (value or b"").split(b",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -156,7 +156,9 @@
         load each server would handle more objects than it can cache, and all requests would take
         several times longer. ``admit`` is called last, as it may take a cold server's token.
         """
-        usable = exclude_ejected(self.servers, now_ms)
+        usable = [
+            state for state in exclude_ejected(self.servers, now_ms) if not state.is_paused(now_ms)
+        ]
         median_ms = self._current_median_ms(usable, now_ms)
         candidates: list[Placement] = []
         for rank, state in enumerate(self._rank_usable(usable, query, now_ms)):
@@ -175,8 +177,10 @@
         return choose_shortest_queue(candidates, query, median_ms)
 
     def has_usable_server(self, now_ms: int) -> bool:
-        """Tell whether at least one server is not ejected."""
-        return any(not state.is_ejected(now_ms) for state in self.servers)
+        """Tell whether at least one server is neither ejected nor in a pause."""
+        return any(
+            not state.is_ejected(now_ms) and not state.is_paused(now_ms) for state in self.servers
+        )
 
     def _rank_usable(
         self, usable: list[ServerState], query: PlacementQuery, now_ms: int
@@ -191,7 +195,8 @@
             ranking = self.rankings[key] = rank_servers(self.servers, query)
         if len(usable) == len(ranking):
             return ranking
-        return [state for state in ranking if not state.is_ejected(now_ms)]
+        usable_ids = {state.registration.id for state in usable}
+        return [state for state in ranking if state.registration.id in usable_ids]
 
     def _current_median_ms(self, usable: list[ServerState], now_ms: int) -> float:
         if now_ms >= self.median_expires_ms:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -139,10 +139,17 @@
 
     def is_usable(self, state: ServerState) -> bool:
         """Tell whether a server may get new requests."""
-        if state.registration.draining:
+        if state.registration.draining or state.leaving:
             return False
         return state.registration.failure_domain not in self.evacuated_domains.values()
 
+    def mark_leaving(self, state: ServerState) -> None:
+        """Use a server no more that has said itself that it will stop."""
+        if not state.leaving:
+            logger.info("backend server {} says that it leaves", state.registration.id)
+            state.leaving = True
+            self.generation += 1
+
     def servers_of(self, service: str) -> list[ServerState]:
         """Return the servers of a service that may get new requests."""
         return [
--- a/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
@@ -21,6 +21,8 @@
 
     ``failures`` counts consecutive failed requests, ``ejection_ms`` is how long the next ejection
     lasts. ``missing_since_ms`` is set while the registration is missing after a store outage.
+    ``leaving`` is set once the server has said in a response that it will stop, and until
+    ``paused_until_ms`` it wants no requests from this VM.
     ``peers_in_flight`` is the sum of what other VMs report, ``reported_peer_load`` comes from the
     server itself.
     """
@@ -37,6 +39,8 @@
         self.ejection_ms = MIN_EJECTION_MS
         self.ejected_until_ms = 0
         self.cold_until_ms = 0
+        self.paused_until_ms = 0
+        self.leaving = False
         self.missing_since_ms: int | None = None
         self.update_registration(registration, now_ms)
 
@@ -48,6 +52,7 @@
         ):
             self.failures, self.ejected_until_ms, self.ejection_ms = 0, 0, MIN_EJECTION_MS
             self.latency_ms, self.responses = 0.0, 0
+            self.leaving, self.paused_until_ms = False, 0
         self.registration = registration
         self.missing_since_ms = None
         if registration.warmup_left_ms:
@@ -57,6 +62,10 @@
         """Tell whether the server is warming up and accepts only a low rate."""
         return now_ms < self.cold_until_ms
 
+    def is_paused(self, now_ms: int) -> bool:
+        """Tell whether the server has asked this VM to send no requests for some time."""
+        return now_ms < self.paused_until_ms
+
     def is_ejected(self, now_ms: int) -> bool:
         """Tell whether the server gets no requests because of recent failures."""
         return now_ms < self.ejected_until_ms
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from berylbankd._internal.models.deployment import Deployment
-from berylbankd._internal.models.types import ReleaseState, Route
+from berylbankd._internal.models.types import ReleaseState, Route, ServerNotices
 from berylbankd._internal.peers.messages import Member, ReleaseReport, StateDigest
 from berylbankd._internal.steering.digest_exchange import DigestExchange, OwnState
 from berylbankd._internal.steering.fleet_sums import FleetSums, hash_name, make_empty_sums
@@ -198,13 +198,26 @@
         else:
             pick.server.record_success(latency_ms)
 
+    def record_notices(self, state: ServerState, notices: ServerNotices, now_ms: int) -> None:
+        """Record what a server said of itself in a response."""
+        if notices.leaving:
+            self.routing_state.mark_leaving(state)
+        if notices.pause_ms is not None:
+            state.paused_until_ms = max(state.paused_until_ms, now_ms + notices.pause_ms)
+
     def expected_service_ms(self, service: str) -> float:
         """Return the mean time to serve a request of a service, without queueing."""
         return max(MIN_SERVICE_MS, self.mean_service_ms.get(service, INITIAL_SERVICE_MS))
 
-    def retry_after_s(self, service: str) -> float:
-        """Return when a caller that was refused for lack of capacity may retry, in seconds."""
-        return self.retry_delays.next_delay_ms(self.expected_service_ms(service)) / 1000
+    def retry_after_s(self, service: str, now_ms: int) -> float:
+        """Return when a caller that was refused for lack of capacity may retry, in seconds.
+
+        While all servers have asked for a pause, that is not before the first pause ends.
+        """
+        delay_ms = self.retry_delays.next_delay_ms(self.expected_service_ms(service))
+        servers = self.routing_state.servers_of(service)
+        pause_ms = min((state.paused_until_ms - now_ms for state in servers), default=0)
+        return max(0, pause_ms) / 1000 + delay_ms / 1000
 
     def host_of(self, vm: str) -> str | None:
         """Return the host to which datagrams for a VM are sent, or None for an unknown VM."""
--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -390,7 +390,7 @@
 def step_decisions(context):
     steering = context.steering
     assert steering.pick(make_request(), 300) is not None
-    assert steering.retry_after_s("desk") > 0
+    assert steering.retry_after_s("desk", 0) > 0
     assert 0 <= steering._compute_max_queue_per_slot(make_request()) <= 1
 
 
@@ -414,7 +414,7 @@
     steering.tick(0, 300)
     steering.tick(500, 900)
     steering.pick(make_request(), 1_000)
-    assert math.isfinite(steering.retry_after_s("desk"))
+    assert math.isfinite(steering.retry_after_s("desk", 0))
     assert math.isfinite(RetryAfterSpread().next_delay_ms(amounts[0]))
     route = ROUTE._replace(
         services=(WeightedService("desk", amounts[1]), WeightedService("other", amounts[2]))
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -16,7 +16,7 @@
 DAEMON = PACKAGES / "berylbankd/src/berylbankd/_internal"
 # Names that only the platform uses; common words that berylbank uses too are left out.
 PLATFORM_NAMES = (
-    "X-Expected-Instance|X-Affinity-Key|X-Server-Signature|X-Server-Load|X-Not-Executed|"
+    "Server-Leaving|Server-Limit|X-Expected-Instance|X-Affinity-Key|X-Server-Signature|X-Server-Load|X-Not-Executed|"
     "X-Instance-Id|X-Warmup-Ms|X-Deadline-Ms|X-Tenant|weightedServices|targetLatencyS|timeoutS|"
     "maxAttempts|allowedRegions|apiKeys|ratePerS|healthPath|warmupS|warmupPerS|warmupLeftS|"
     "idleTimeoutS|ephemeralPorts|nodeName|expectedRev|rows-tx|rows-get|rows-feed|tombstone|"
@@ -44,7 +44,9 @@
 
 @when("the sources outside the platform package are searched")
 def step_search_sources(context):
-    headers = [name.lower() for name in PLATFORM_NAMES.split("|") if name.startswith("X-")]
+    headers = [
+        name.lower() for name in PLATFORM_NAMES.split("|") if name.startswith(("X-", "Server-"))
+    ]
     pattern = re.compile("|".join([PLATFORM_NAMES, *headers]))
     sources = [
         path
