Keep the limit that a server names for all VMs together

A limit is divided among at most four holders, VMs of the server's region that a ranking chooses, each with a token bucket; the others send nothing and take another server. VMs tell each other limits, and their end, in digests, and new VMs learn them before they send. No request queues at a limited server.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -330,7 +330,7 @@
             with anyio.fail_after(response_timeout_s):
                 await self._send_request(exchange, dispatch_metadata, connection)
                 head, response_metadata = await self._receive_matching_head(exchange, connection)
-                self._apply_response_metadata(pick, connection, response_metadata)
+                self._apply_response_metadata(pick, connection, response_metadata, started_ms)
                 if response_metadata.not_run:
                     return await self._handle_not_run(pick, connection, response_metadata)
                 response = await self._receive_response(exchange, connection, head)
@@ -445,12 +445,18 @@
         raise BackendConnectionError("crossed")
 
     def _apply_response_metadata(
-        self, pick: Pick, connection: BackendConnection, response_metadata: ResponseMetadata
+        self,
+        pick: Pick,
+        connection: BackendConnection,
+        response_metadata: ResponseMetadata,
+        sent_ms: int,
     ) -> None:
         if response_metadata.misdirected:
             # The response comes from another server than the one that was picked.
             return
-        self.steering.record_notices(pick.server, response_metadata.notices, self.clock.now_ms())
+        self.steering.record_notices(
+            pick.server, response_metadata.notices, sent_ms, self.clock.now_ms()
+        )
         if response_metadata.load is not None:
             running, waiting, _ = response_metadata.load
             pick.server.record_load_report(running, waiting, self.clock.now_ms())
--- a/packages/berylbankd/src/berylbankd/_internal/models/types.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/types.py
@@ -123,11 +123,13 @@
     """What a backend server says of itself in a response.
 
     ``leaving`` means that it will stop. ``pause_ms`` is how long it wants no requests from this VM,
-    None if it does not say so.
+    ``limit_per_s`` how many requests per second it takes from all VMs together; each is None if it
+    does not say so.
     """
 
     leaving: bool = False
     pause_ms: int | None = None
+    limit_per_s: float | None = None
 
 
 class ReleaseOrder(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -119,6 +119,7 @@
         ],
         "liveDomains": list(digest.live_domains),
         "loads": _encode_amounts(digest.loads),
+        "limits": _encode_amounts(digest.limits),
         "regions": [
             {
                 "region": sums.region,
@@ -162,6 +163,7 @@
         domains=tuple(_decode_domain(domain) for domain in digest.domains),
         live_domains=tuple(digest.liveDomains),
         loads=_decode_amounts(digest.loads),
+        limits=_decode_amounts(digest.limits),
         regions=tuple(
             RegionSums(
                 sums.region, _decode_amounts(sums.demands), _decode_amounts(sums.organisations)
--- a/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
@@ -40,6 +40,7 @@
   ageMs @13 :UInt32;
   part @14 :UInt16;
   parts @15 :UInt16;
+  limits @16 :Amounts;
 }
 
 struct DomainMembers {
--- a/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
@@ -74,6 +74,7 @@
                     if status == UNAVAILABLE_STATUS
                     else None
                 ),
+                limit_per_s=_parse_rate(by_name.get(names.LIMIT_HEADER)),
             ),
         )
 
@@ -108,6 +109,15 @@
     return int(milliseconds) if math.isfinite(milliseconds) and milliseconds >= 0 else None
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    """Return a number of requests per second, or None if there is no valid one."""
+    try:
+        rate_per_s = float(value or b"")
+    except ValueError:
+        return None
+    return rate_per_s if math.isfinite(rate_per_s) and rate_per_s > 0 else None
+
+
 def _parse_load(value: bytes | None) -> ReportedLoad | None:
     parts = (value or b"").split(b",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -14,6 +14,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from berylbankd._internal.models.deployment import Deployment
@@ -79,6 +80,7 @@
     demands: Mapping[int, float]
     organisations: Mapping[int, float]
     releases: tuple[ReleaseReport, ...]
+    limits: Mapping[int, float] = MappingProxyType({})
 
 
 class OutgoingDigest(NamedTuple):
@@ -383,6 +385,7 @@
             own.loads,
             (RegionSums(deployment.region, own.demands, own.organisations),),
             own.releases,
+            limits=own.limits,
         )
 
     def _make_collector_digests(
@@ -506,6 +509,7 @@
 def _replace_sums(digest: StateDigest, sums: FleetSums) -> StateDigest:
     return digest._replace(
         loads=sums.loads,
+        limits=sums.limits,
         regions=sums.regions(),
         releases=tuple(sums.releases.values()),
         age_ms=sums.age_ms,
@@ -514,8 +518,10 @@
 
 def count_amounts(digest: StateDigest) -> int:
     """Return the number of amounts in a digest."""
-    return len(digest.loads) + sum(
-        len(item.demands) + len(item.organisations) for item in digest.regions
+    return (
+        len(digest.loads)
+        + len(digest.limits)
+        + sum(len(item.demands) + len(item.organisations) for item in digest.regions)
     )
 
 
@@ -532,12 +538,13 @@
     """
     parts = max(1, -(-count_amounts(digest) // MAX_AMOUNTS_PER_DATAGRAM))
     bare = digest._replace(
-        domains=(), live_domains=(), loads={}, regions=(), releases=(), parts=parts
+        domains=(), live_domains=(), loads={}, limits={}, regions=(), releases=(), parts=parts
     )
     datagrams = [
         bare._replace(
             part=part,
             loads=_select_part(digest.loads, part, parts),
+            limits=_select_part(digest.limits, part, parts),
             regions=tuple(
                 RegionSums(
                     item.region,
--- a/packages/berylbankd/src/berylbankd/_internal/steering/fleet_sums.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/fleet_sums.py
@@ -27,13 +27,15 @@
 class FleetSums(NamedTuple):
     """Merged state of several VMs; amounts are by the hash of the name that they belong to.
 
-    ``demands`` and ``organisations`` are by region. ``age_ms`` is the age of the oldest part.
+    ``demands`` and ``organisations`` are by region. ``limits`` are the lowest rates that VMs saw
+    servers name, 0 if they only saw the end of a limit. ``age_ms`` is the age of the oldest part.
     """
 
     loads: dict[int, float]
     demands: dict[str, dict[int, float]]
     organisations: dict[str, dict[int, float]]
     releases: dict[tuple[str, int], ReleaseReport]
+    limits: dict[int, float]
     age_ms: int = 0
 
     def regions(self) -> tuple[RegionSums, ...]:
@@ -46,7 +48,7 @@
 
 def make_empty_sums() -> FleetSums:
     """Return the sums over no VM."""
-    return FleetSums({}, {}, {}, {})
+    return FleetSums({}, {}, {}, {}, {})
 
 
 def merge_digests(parts: Iterable[tuple[StateDigest, int]]) -> FleetSums:
@@ -56,6 +58,7 @@
     for digest, received_before_ms in parts:
         oldest_ms = max(oldest_ms, digest.age_ms + received_before_ms)
         _add_amounts(sums.loads, digest.loads)
+        _merge_limits(sums.limits, digest.limits)
         for item in digest.regions:
             _add_amounts(sums.demands.setdefault(item.region, {}), item.demands)
             organisations = sums.organisations.setdefault(item.region, {})
@@ -131,6 +134,13 @@
         total[key] = total.get(key, 0.0) + amount
 
 
+def _merge_limits(total: dict[int, float], limits: Mapping[int, float]) -> None:
+    """Keep the lowest limit of each server; its end counts only if no VM still sees a limit."""
+    for key, rate_per_s in limits.items():
+        seen = [rate for rate in (rate_per_s, total.get(key, 0.0)) if rate > 0]
+        total[key] = min(seen, default=0.0)
+
+
 def _subtract_amounts(total: Mapping[int, float], amounts: Mapping[int, float]) -> dict[int, float]:
     rest = dict(total)
     for key, amount in amounts.items():
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -16,7 +16,7 @@
     Position,
     StateDigest,
 )
-from berylbankd._internal.steering.placement import hash_to_fraction
+from berylbankd._internal.steering.hashing import hash_to_fraction
 
 # Interval at which a VM updates what it knows of the others and sends its digests, in a full mesh
 # and else; see digest_exchange for the intervals of each scope.
--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -11,8 +11,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-import xxhash
-
+from berylbankd._internal.steering.hashing import HASH_RANGE, hash_to_fraction
 from berylbankd._internal.steering.servers import ServerState
 
 # A server slower than the group's median latency by more than this ratio is given fewer slots.
@@ -21,7 +20,6 @@
 MIN_LATENCY_SAMPLES = 5
 # Largest share of the servers that may be ejected; beyond it all servers are used again.
 MAX_EJECTED_SHARE = 0.5
-HASH_RANGE = float(2**64)
 MIN_RANK_WEIGHT = 0.001
 # Servers that may handle one object: enough for a busy object, but few enough that they keep the
 # object cached.
@@ -61,11 +59,6 @@
     load: int
 
 
-def hash_to_fraction(*parts: str) -> float:
-    """Return a hash from 0 to 1 that is the same on all VMs."""
-    return float(xxhash.xxh64_intdigest("\0".join(parts).encode()) / HASH_RANGE)
-
-
 def compute_weighted_rank(weight: float, *parts: str) -> float:
     """Return a rank by weighted rendezvous hashing, lowest first, the same on all VMs.
 
@@ -152,7 +145,7 @@
 
         The first server in the ranking with a free slot is used, where the first one may also
         queue a few requests. Otherwise the one with the shortest queue is used, among the
-        first ``servers_per_object``. A request for an object is never placed beyond those: under
+        first ``servers_per_object`` that take any number of requests. A request for an object is never placed beyond those: under
         load each server would handle more objects than it can cache, and all requests would take
         several times longer. ``admit`` is called last, as it may take a cold server's token.
         """
@@ -170,7 +163,7 @@
                 slots *= 1 + min(FIRST_SERVER_QUEUE_PER_SLOT, query.max_queue_per_slot)
             if placement.load + 1 <= slots and admit(state):
                 return placement
-            if not state.is_cold(now_ms):
+            if not state.is_rationed(now_ms):
                 candidates.append(placement)
             if query.object_key and len(candidates) >= query.servers_per_object:
                 break
--- a/packages/berylbankd/src/berylbankd/_internal/steering/region_planner.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/region_planner.py
@@ -11,8 +11,9 @@
 
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.models.types import RequestKind
+from berylbankd._internal.steering.hashing import hash_to_fraction
 from berylbankd._internal.steering.picks import PickRequest
-from berylbankd._internal.steering.placement import ServerGroup, hash_to_fraction
+from berylbankd._internal.steering.placement import ServerGroup
 from berylbankd._internal.steering.regions import (
     RegionLoad,
     RegionSplit,
--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -18,7 +18,7 @@
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.types import ReleaseOrder, ReleaseState
 from berylbankd._internal.peers.messages import ReleaseReport, RouteEvidence
-from berylbankd._internal.steering.placement import hash_to_fraction
+from berylbankd._internal.steering.hashing import hash_to_fraction
 from berylbankd._internal.steering.servers import ServerState
 
 # The new version's share of the requests by step; the first step is the canary.
--- a/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
@@ -1,6 +1,12 @@
 """State of a backend server on one VM: its registration, load, latency and failures."""
 
 from berylbankd._internal.models.types import BackendServer
+from berylbankd._internal.steering.server_limits import (
+    LIMIT_TTL_MS,
+    NO_LIMIT,
+    OBSERVATION_MS,
+    ServerLimit,
+)
 
 # Weight of the latest response in the mean latency of a server.
 LATENCY_WEIGHT = 0.15
@@ -22,7 +28,8 @@
     ``failures`` counts consecutive failed requests, ``ejection_ms`` is how long the next ejection
     lasts. ``missing_since_ms`` is set while the registration is missing after a store outage.
     ``leaving`` is set once the server has said in a response that it will stop, and until
-    ``paused_until_ms`` it wants no requests from this VM.
+    ``paused_until_ms`` it wants no requests from this VM. ``limit`` is set while it allows only some
+    requests per second, and ``unlimited_ms`` is when a response showed the end of a limit.
     ``peers_in_flight`` is the sum of what other VMs report, ``reported_peer_load`` comes from the
     server itself.
     """
@@ -41,6 +48,8 @@
         self.cold_until_ms = 0
         self.paused_until_ms = 0
         self.leaving = False
+        self.limit: ServerLimit | None = None
+        self.unlimited_ms = -OBSERVATION_MS
         self.missing_since_ms: int | None = None
         self.update_registration(registration, now_ms)
 
@@ -53,6 +62,7 @@
             self.failures, self.ejected_until_ms, self.ejection_ms = 0, 0, MIN_EJECTION_MS
             self.latency_ms, self.responses = 0.0, 0
             self.leaving, self.paused_until_ms = False, 0
+            self.limit, self.unlimited_ms = None, -OBSERVATION_MS
         self.registration = registration
         self.missing_since_ms = None
         if registration.warmup_left_ms:
@@ -62,6 +72,45 @@
         """Tell whether the server is warming up and accepts only a low rate."""
         return now_ms < self.cold_until_ms
 
+    def is_rationed(self, now_ms: int) -> bool:
+        """Tell whether the server gets only requests that a token allows."""
+        return self.limit is not None or self.is_cold(now_ms)
+
+    def record_limit(self, rate_per_s: float | None, sent_ms: int, now_ms: int) -> None:
+        """Record the limit that a response named, or that it named none.
+
+        ``sent_ms`` is when its request was sent. A response does not end a limit that was seen
+        after that.
+        """
+        if rate_per_s is not None:
+            if self.limit is None:
+                self.limit = ServerLimit(rate_per_s, now_ms, observed=True)
+            self.limit.observe(rate_per_s, now_ms)
+        elif self.limit is not None and sent_ms >= self.limit.observed_ms:
+            self.limit = None
+            self.unlimited_ms = now_ms
+
+    def learn_limit(self, rate_per_s: float, now_ms: int) -> None:
+        """Record what other VMs saw of the server's limit; ``NO_LIMIT`` tells of its end."""
+        if rate_per_s == NO_LIMIT:
+            if self.limit is not None and now_ms - self.limit.observed_ms >= OBSERVATION_MS:
+                self.limit = None
+        elif self.limit is not None:
+            self.limit.learn(rate_per_s, now_ms)
+        elif now_ms - self.unlimited_ms >= OBSERVATION_MS:
+            self.limit = ServerLimit(rate_per_s, now_ms, observed=False)
+
+    def observed_limit(self, now_ms: int) -> float | None:
+        """Return the limit that this VM saw recently, ``NO_LIMIT`` if it saw its end."""
+        if self.limit is not None and now_ms - self.limit.observed_ms < OBSERVATION_MS:
+            return self.limit.rate_per_s
+        return NO_LIMIT if now_ms - self.unlimited_ms < OBSERVATION_MS else None
+
+    def forget_old_limit(self, now_ms: int) -> None:
+        """Drop a limit that no VM has seen for long."""
+        if self.limit is not None and now_ms - self.limit.seen_ms >= LIMIT_TTL_MS:
+            self.limit = None
+
     def is_paused(self, now_ms: int) -> bool:
         """Tell whether the server has asked this VM to send no requests for some time."""
         return now_ms < self.paused_until_ms
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -198,8 +198,18 @@
         else:
             pick.server.record_success(latency_ms)
 
-    def record_notices(self, state: ServerState, notices: ServerNotices, now_ms: int) -> None:
-        """Record what a server said of itself in a response."""
+    def record_notices(
+        self, state: ServerState, notices: ServerNotices, sent_ms: int, now_ms: int
+    ) -> None:
+        """Record what a server said of itself in a response to a request sent at ``sent_ms``."""
+        was_limited = state.limit is not None
+        state.record_limit(notices.limit_per_s, sent_ms, now_ms)
+        if was_limited != (state.limit is not None):
+            logger.info(
+                "backend server {} takes {} requests per second from all VMs together",
+                state.registration.id,
+                "any number of" if state.limit is None else state.limit.rate_per_s,
+            )
         if notices.leaving:
             self.routing_state.mark_leaving(state)
         if notices.pause_ms is not None:
@@ -269,8 +279,17 @@
             _hash_reportable(self.demands),
             _hash_reportable(self.quotas.advertised_demand),
             tuple(release.make_report(now_ms) for release in self.releases.values()),
+            self._observed_limits(now_ms),
         )
 
+    def _observed_limits(self, now_ms: int) -> dict[int, float]:
+        limits: dict[int, float] = {}
+        for server_id, state in self.routing_state.servers.items():
+            rate_per_s = state.observed_limit(now_ms)
+            if rate_per_s is not None:
+                limits[hash_name(server_id)] = rate_per_s
+        return limits
+
     def tick(self, elapsed_ms: int, now_ms: int) -> None:
         """Update peer load, quotas and releases, and less often demands and region splits."""
         self.membership.leaving = self.leaving
@@ -278,7 +297,7 @@
         self.peer_sums = self.digest_exchange.sums_of_others(now_ms)
         self.ready_vms_by_region = self._group_ready_vms()
         self.quotas.set_region_vms(self._find_region_capacities())
-        self._update_peer_load()
+        self._update_peer_load(now_ms)
         self._update_quotas(now_ms)
         self.sync_releases(now_ms)
         for release in self.releases.values():
@@ -291,6 +310,8 @@
     def _slow_tick(self, elapsed_ms: int, now_ms: int) -> None:
         """Update what takes a pass over all backend servers and changes only over seconds."""
         self.routing_state.remove_missing_servers(now_ms)
+        for state in self.routing_state.servers.values():
+            state.forget_old_limit(now_ms)
         for server_id in self.cold_server_buckets.keys() - self.routing_state.servers.keys():
             del self.cold_server_buckets[server_id]
         self._update_demands(elapsed_ms)
@@ -404,9 +425,11 @@
 
     def _make_admission_check(self, now_ms: int) -> Callable[[ServerState], bool]:
         def admit(state: ServerState) -> bool:
-            if not state.is_cold(now_ms):
-                return True
-            return self._admit_cold(state, now_ms)
+            if state.is_cold(now_ms) and not self._admit_cold(state, now_ms):
+                return False
+            return state.limit is None or state.limit.take(
+                state.registration.id, self.deployment.vm, self._vms_near(state), now_ms
+            )
 
         return admit
 
@@ -415,17 +438,20 @@
         service = configuration.services.get(state.registration.service) if configuration else None
         if service is None or service.warmup_per_s <= 0:
             return True
-        region = self.deployment.regions.get(state.registration.failure_domain, "")
-        vms = self.ready_vms_by_region.get(region) or [
-            name for region_vms in self.ready_vms_by_region.values() for name in region_vms
-        ]
-        if find_owner(state.registration.id, vms) != self.deployment.vm:
+        if find_owner(state.registration.id, self._vms_near(state)) != self.deployment.vm:
             return False
         bucket = self.cold_server_buckets.get(state.registration.id)
         if bucket is None:
             bucket = self.cold_server_buckets[state.registration.id] = ColdServerBucket(now_ms)
         return bucket.take(service.warmup_per_s, now_ms)
 
+    def _vms_near(self, state: ServerState) -> list[str]:
+        """Return the ready VMs of a server's region, or all ready VMs if there is none."""
+        region = self.deployment.regions.get(state.registration.failure_domain, "")
+        return self.ready_vms_by_region.get(region) or [
+            name for region_vms in self.ready_vms_by_region.values() for name in region_vms
+        ]
+
     def _region_of(self, member: Member) -> str:
         return self.deployment.regions.get(member.failure_domain, "")
 
@@ -457,7 +483,7 @@
             mean = self.demands.get(service, demand)
             self.demands[service] = mean + DEMAND_WEIGHT * (demand - mean)
 
-    def _update_peer_load(self) -> None:
+    def _update_peer_load(self, now_ms: int) -> None:
         if self.hashed_generation != self.routing_state.generation:
             self.hashed_generation = self.routing_state.generation
             self.server_ids_by_hash = {
@@ -473,6 +499,10 @@
             if state is not None:
                 state.peers_in_flight = round(by_server.get(server_id, 0))
         self.servers_with_peer_load = set(by_server)
+        for key, rate_per_s in self.peer_sums.limits.items():
+            state = self.routing_state.servers.get(self.server_ids_by_hash.get(key, ""))
+            if state is not None:
+                state.learn_limit(rate_per_s, now_ms)
 
     def _update_quotas(self, now_ms: int) -> None:
         fleet = FleetView(
--- a/packages/berylbankd/src/berylbankd/_internal/steering/warmup.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/warmup.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from berylbankd._internal.steering.placement import hash_to_fraction
+from berylbankd._internal.steering.hashing import hash_to_fraction
 
 # Share of the tolerated rate that the owner uses, as two VMs may both consider themselves owner.
 OWNER_RATE_SHARE = 0.9
--- a/tests/steps/server_notice_steps.py
+++ b/tests/steps/server_notice_steps.py
@@ -150,7 +150,7 @@
 def read_response(context, number, status, headers):
     metadata = PlatformHeaderCodec().decode_response(status, headers)
     state = context.steering.routing_state.servers[f"s{number}"]
-    context.steering.record_notices(state, metadata.notices, context.now_ms)
+    context.steering.record_notices(state, metadata.notices, context.now_ms, context.now_ms)
 
 
 @given("{count:d} known servers")
