Skip any entry of the store that names no usable backend server

Other operators reported that one odd entry ended VMs again and again, or kept them from following the list. It could happen here: deep nesting (RecursionError) and infinite or huge numbers (OverflowError) were not among the errors of decoding, so that the task that follows the store failed at each new start; a port out of range, a number of 400 digits or an id with a line break were taken over and failed later, in placement or in the head of a request; a value that is not base64 spoiled its whole page.

The codec checks addresses, numbers and ids, and treats these errors like others; each row is applied on its own, and an unexpected error in one is logged. Same cause elsewhere: hosts in the VMs' own table.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
@@ -5,6 +5,7 @@
 the store directly) has a row of its own, and a VM that starts reads all of them.
 """
 
+import ipaddress
 import random
 from collections.abc import Callable, Iterable
 
@@ -116,5 +117,13 @@
         self._add_hosts(snapshot.rows)
 
     def _add_hosts(self, rows: Iterable[Row]) -> None:
-        hosts = {row.value.decode() for row in rows if row.value is not None}
-        self.membership.hosts.update(hosts - {self.membership.host})
+        for row in rows:
+            if row.value is None:
+                continue
+            try:
+                host = str(ipaddress.IPv4Address(row.value.decode()))
+            except ValueError:
+                logger.warning("row {} of the VMs' table holds no IP address", row.key.key)
+                continue
+            if host != self.membership.host:
+                self.membership.hosts.add(host)
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -117,9 +117,9 @@
     ``positions`` are those of the sender, whatever the scope. ``domains`` lists the members of some
     failure domains; ``live_domains`` names all failure domains that the sender hears from.
     ``loads`` are requests in flight by the hash of the backend server's id, and ``limits`` the
-    requests per second that servers take from all VMs together, 0 for one that took back its limit.
-    ``hosts`` are IP addresses of some other VMs. ``age_ms`` is the age of the oldest report in it at
-    the time of sending.
+    requests per second that servers take from all VMs together, 0 for one that took back its
+    limit. ``hosts`` are IP addresses of some other VMs. ``age_ms`` is the age of the oldest report
+    in it at the time of sending.
 
     A digest of several VMs is sent in ``parts`` datagrams, each with the amounts of some names;
     releases and ``live_domains`` are in ``part`` 0. Datagrams that only list members have higher
--- a/packages/berylbankd/src/berylbankd/_internal/platform/row_codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/row_codec.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, TypeVar
 
+from berylbank._internal.utils.addresses import parse_address
 from berylbankd._internal.models.rows import Row, RowKey
 from berylbankd._internal.models.types import (
     BackendServer,
@@ -21,7 +22,20 @@
 from berylbankd._internal.platform import names
 
 Decoded = TypeVar("Decoded")
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, IndexError)
+# Any writer of the store can leave a value of any content, nesting or size.
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
+# Larger numbers are no server's; decisions calculate with them as 64-bit floating-point numbers.
+MAX_SLOTS = 1_000_000
+MAX_WARMUP_MS = 86_400_000
+MAX_COUNT = 2**63 - 1
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -95,18 +109,20 @@
 def decode_server(server_id: str, raw: dict[str, Any]) -> BackendServer:
     """Decode a backend server's registration; raise if a field is missing or of another type."""
     info, status = raw["info"], raw["status"]
+    address = _require_string(raw["address"])
+    parse_address(address)
     return BackendServer(
-        id=server_id,
-        address=_require_string(raw["address"]),
+        id=_require_header_value(server_id),
+        address=address,
         service=_require_string(info["service"]),
         version=_require_string(info["version"]),
         failure_domain=_require_string(info["zone"]),
-        slots=_require_integer(info["capacity"]),
+        slots=_require_integer(info["capacity"], MAX_SLOTS),
         draining=DRAINING_BY_STATE[_require_string(status["state"])],
-        warmup_left_ms=_to_milliseconds(status["warmupLeftS"]),
-        sequence=_require_integer(status["sequence"]),
+        warmup_left_ms=_require_integer(_to_milliseconds(status["warmupLeftS"]), MAX_WARMUP_MS),
+        sequence=_require_integer(status["sequence"], MAX_COUNT),
         # Start time of this incarnation: a restarted server may reuse the id of an earlier one.
-        started_ms=_require_integer(raw.get("born", 0)),
+        started_ms=_require_integer(raw.get("born", 0), MAX_COUNT),
     )
 
 
@@ -192,12 +208,23 @@
 def _require_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError("expected a non-empty string")
+    # Escaped surrogates are valid JSON, but can be neither hashed nor sent.
+    value.encode()
+    return value
+
+
+def _require_header_value(value: str) -> str:
+    """Return a text that can be sent in a header as it is."""
+    if not value or not value.isascii() or not value.isprintable() or " " in value:
+        raise ValueError("expected printable ASCII characters without spaces")
     return value
 
 
-def _require_integer(value: Any) -> int:
+def _require_integer(value: Any, maximum: int) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
         raise TypeError("expected an integer")
+    if not 0 <= value <= maximum:
+        raise ValueError(f"expected a number from 0 to {maximum}")
     return value
 
 
--- a/packages/berylbankd/src/berylbankd/_internal/platform/store.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/store.py
@@ -24,7 +24,8 @@
 # Added to the wait time of a long poll, for a slow response at its end.
 LONG_POLL_MARGIN_S = 0.4
 MAX_PAGE_ROWS = 500
-DECODE_ERRORS = (KeyError, TypeError, ValueError, binascii.Error)
+DECODE_ERRORS = (KeyError, TypeError, ValueError, OverflowError, RecursionError)
+UNREADABLE_VALUE = b""
 
 
 class HttpRowStore:
@@ -116,5 +117,12 @@
 def _decode_row(raw: dict[str, Any], table: str) -> Row:
     key = RowKey(raw.get("table", table), raw["key"])
     removed = raw.get("tombstone", False) or raw.get("value") is None
-    value = None if removed else base64.b64decode(raw["value"])
-    return Row(key, value, int(raw["ver"]))
+    return Row(key, None if removed else _decode_value(raw["value"]), int(raw["ver"]))
+
+
+def _decode_value(encoded: Any) -> bytes:
+    """Return a row's value; one that cannot be decoded must not spoil the other rows of a page."""
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except (TypeError, binascii.Error, ValueError):
+        return UNREADABLE_VALUE
--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -144,10 +144,11 @@
         """Return the server to use, or None where none has capacity.
 
         The first server in the ranking with a free slot is used, where the first one may also
-        queue a few requests. Otherwise the one with the shortest queue is used, among the
-        first ``servers_per_object`` that take any number of requests. A request for an object is never placed beyond those: under
-        load each server would handle more objects than it can cache, and all requests would take
-        several times longer. ``admit`` is called last, as it may take a cold server's token.
+        queue a few requests. Otherwise the one with the shortest queue is used, among the first
+        ``servers_per_object`` that are not rationed. A request for an object is never placed beyond
+        those: under load each server would handle more objects than it can cache, and all requests
+        would take several times longer. ``admit`` is called last, as it may take a token of a
+        rationed server.
         """
         usable = [
             state for state in exclude_ejected(self.servers, now_ms) if not state.is_paused(now_ms)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -16,6 +16,7 @@
     Route,
 )
 from berylbankd._internal.steering.servers import ServerState
+from berylbankd._internal.supervision import describe_error
 
 # Servers whose registrations were lost during a store outage register again within this time, or
 # are removed.
@@ -101,7 +102,16 @@
         rows = list(rows)
         self.logs_each_server = len(rows) <= MAX_SERVERS_LOGGED
         for row in rows:
-            self.apply_row(row, now_ms)
+            try:
+                self.apply_row(row, now_ms)
+            except Exception as error:  # a row of an unexpected kind must not stop the others
+                logger.error(
+                    "row {} of table {} at revision {} could not be applied: {}",
+                    row.key.key,
+                    row.key.table,
+                    row.revision,
+                    describe_error(error),
+                )
         if not self.logs_each_server:
             logger.info(
                 "applied {} rows from {}; {} backend servers known",
--- a/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
@@ -28,8 +28,8 @@
     ``failures`` counts consecutive failed requests, ``ejection_ms`` is how long the next ejection
     lasts. ``missing_since_ms`` is set while the registration is missing after a store outage.
     ``leaving`` is set once the server has said in a response that it will stop, and until
-    ``paused_until_ms`` it wants no requests from this VM. ``limit`` is set while it allows only some
-    requests per second, and ``unlimited_ms`` is when a response showed the end of a limit.
+    ``paused_until_ms`` it wants no requests from this VM. ``limit`` is set while it allows only
+    some requests per second, and ``unlimited_ms`` is when a response showed the end of a limit.
     ``peers_in_flight`` is the sum of what other VMs report, ``reported_peer_load`` comes from the
     server itself.
     """
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -1,15 +1,30 @@
 """Steps on the rows that VMs copy from the store and from each other."""
 
+import base64
+import json
+
 import anyio
+import httpx
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings as test_settings
+from hypothesis import strategies as st
 
+from berylbank._internal.utils.addresses import parse_address
+from berylbankd._internal.backends.connection import serialize_head
 from berylbankd._internal.feeds.release_driver import ReleaseDriver
+from berylbankd._internal.ingress.codec import DispatchMetadata
 from berylbankd._internal.models.deployment import Bounds
-from berylbankd._internal.models.rows import RowKey
+from berylbankd._internal.models.rows import Row, RowKey
 from berylbankd._internal.models.types import ReleaseOrder, ReleaseState, ReleaseStatus
-from berylbankd._internal.steering.placement import hash_to_fraction
+from berylbankd._internal.platform.headers import PlatformHeaderCodec
+from berylbankd._internal.platform.store import HttpRowStore
+from berylbankd._internal.steering.hashing import hash_to_fraction
 from berylbankd._internal.steering.releases import Release
 from berylbankd._internal.steering.steering import Steering
+from tests.steps.ingress_steps import install_keys
+from tests.steps.server_notice_steps import make_pick_request
+from tests.steps.steering_steps import INVALID_REGISTRATIONS
 from tests.support.replication import (
     NOW_MS,
     ORDERS,
@@ -19,7 +34,7 @@
     make_positions_digest,
     run_random_changes,
 )
-from tests.support.steering import ROW_CODEC, make_deployment
+from tests.support.steering import ROW_CODEC, make_deployment, server_row
 
 EVACUATION = RowKey(ORDERS, "evacuate/b")
 
@@ -203,3 +218,114 @@
 @then("the store was not called")
 def step_store_not_called(context):
     assert context.fleet.store.reads == 0
+
+
+@given("a VM that follows the backend servers")
+def step_following_vm(context):
+    context.fleet = ReplicatingFleet(1)
+    anyio.run(context.fleet.vms[0].read, SERVERS)
+
+
+@when("a registration with {fault} is written between two others")
+def step_odd_between(context, fault):
+    fleet = context.fleet
+    fleet.put_server("s0")
+    odd = INVALID_REGISTRATIONS[fault]()
+    fleet.store.put(odd.key, odd.value)
+    fleet.put_server("s2")
+    fleet.vms[0].follow(SERVERS)
+
+
+@then("the VM knows the two other servers, and follows a later change")
+def step_follows_others(context):
+    first = context.fleet.vms[0]
+    assert set(first.routing_state.servers) == {"s0", "s2"}
+    context.fleet.put_server("s3")
+    first.follow(SERVERS)
+    assert set(first.routing_state.servers) == {"s0", "s2", "s3"}
+
+
+@then("a VM that fetches from it knows them too, and requests are placed on them")
+def step_fetched_others(context):
+    first = context.fleet.vms[0]
+    later = context.fleet.add_vm()
+    anyio.run(later.fetch, first, SERVERS)
+    assert set(later.routing_state.servers) == {"s0", "s2", "s3"}
+    steering = Steering(make_deployment(later.name), ROW_CODEC, 1, 0)
+    steering.routing_state = later.routing_state
+    install_keys(steering, "alder")
+    steering.tick(250, 0)
+    picked = {steering.pick(make_pick_request(n), 0).server.registration.id for n in range(50)}
+    assert picked == {"s0", "s2", "s3"}
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(min_value=10**300, max_value=10**310)
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(["10.0.0.1:80", "10.0.0.1:0", "::1", "ready", "draining", "desk", "\ud800"]),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=5,
+)
+
+
+@then("registrations of random content leave placement, digests and requests working")
+def step_random_registrations(context):
+    @test_settings(max_examples=400, deadline=None, derandomize=True, database=None)
+    @for_all(st.data())
+    def check(data):
+        document = {
+            "address": data.draw(JSON_VALUES | st.just("10.0.0.1:80")),
+            "born": data.draw(JSON_VALUES | st.just(1)),
+            "info": {
+                "service": data.draw(JSON_VALUES | st.just("desk")),
+                "version": data.draw(JSON_VALUES | st.just("v1")),
+                "zone": data.draw(JSON_VALUES | st.just("a")),
+                "capacity": data.draw(JSON_VALUES | st.just(4)),
+            },
+            "status": {
+                "state": data.draw(JSON_VALUES | st.just("ready")),
+                "sequence": data.draw(JSON_VALUES | st.just(1)),
+                "warmupLeftS": data.draw(JSON_VALUES | st.just(0)),
+            },
+        }
+        server_id = data.draw(st.text(min_size=1, max_size=6) | st.just("s1"))
+        row = Row(RowKey(SERVERS, server_id), json.dumps(document).encode(), 2)
+        steering = Steering(make_deployment("vm-0"), ROW_CODEC, 1, 0)
+        steering.routing_state.apply_row(row, 0)
+        install_keys(steering, "alder")
+        for now_ms in (0, 500):
+            steering.tick(500, now_ms)
+            for number in range(3):
+                pick = steering.pick(make_pick_request(number), now_ms)
+                if pick is None:
+                    continue
+                steering.record_dispatch(pick)
+                metadata = DispatchMetadata(pick.server.registration.id, 100, "alder")
+                headers = PlatformHeaderCodec().encode_request([], metadata)
+                head = serialize_head(b"GET", b"/", headers)
+                assert head.count(b"\r\n") == len(headers) + 2
+                parse_address(pick.server.registration.address)
+            steering.make_own_state(True, True, {SERVERS: 2}, now_ms)
+
+    check()
+
+
+@then("a page of three rows with one that is not base64 gives two readable ones")
+def step_page(context):
+    values = [base64.b64encode(server_row("s0", 1).value).decode()] * 3
+    values[1] = "not base64"
+    rows = [{"key": f"s{n}", "value": value, "ver": n} for n, value in enumerate(values)]
+
+    def respond(request):
+        return httpx.Response(200, json={"rows": rows, "ver": 3, "hasMore": False})
+
+    async def read():
+        async with httpx.AsyncClient(transport=httpx.MockTransport(respond)) as client:
+            return await HttpRowStore(client, "10.0.0.9:1").read_table(SERVERS)
+
+    decoded = [ROW_CODEC.decode_server(row) for row in anyio.run(read).rows]
+    assert [item is not None for item in decoded] == [True, False, True]
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -6,6 +6,7 @@
 
 import anyio
 from behave import given, then, when
+from loguru import logger
 from steering_fleet import free_port
 
 from berylbankd._internal.feeds.registry import VmRegistry
@@ -828,9 +829,38 @@
     ),
     "bytes that are not JSON": lambda: Row(RowKey(ROW_CODEC.servers_table, "s1"), b"\xff{", 2),
     "a list instead of an object": lambda: Row(RowKey(ROW_CODEC.servers_table, "s1"), b"[1]", 2),
+    "very deep nesting": lambda: raw_server_row(b"[" * 30_000),
+    "deep nesting in a field": lambda: changed_server_row(b'"v1"', b"[" * 20_000 + b"]" * 20_000),
+    "an infinite warm-up time": lambda: changed_server_row(b'LeftS": 0', b'LeftS": 1e999'),
+    "a warm-up time of 400 digits": lambda: changed_server_row(
+        b'LeftS": 0', b'LeftS": 1' + b"0" * 400
+    ),
+    "slots of 400 digits": lambda: changed_server_row(
+        b'"capacity": 4', b'"capacity": 4' + b"0" * 400
+    ),
+    "negative slots": lambda: changed_server_row(b'"capacity": 4', b'"capacity": -4'),
+    "a start time of 5000 digits": lambda: changed_server_row(
+        b'"born": 1', b'"born": 1' + b"0" * 5_000
+    ),
+    "a start time that is infinite": lambda: changed_server_row(b'"born": 1', b'"born": Infinity'),
+    "a port out of range": lambda: server_row("s1", 2, address="10.0.0.1:70000"),
+    "a host name as its address": lambda: server_row("s1", 2, address="backend.example:80"),
+    "an address of another type": lambda: server_row("s1", 2, address=["10.0.0.1:80"]),
+    "a service that no text can hold": lambda: changed_server_row(b'"desk"', b'"\\ud800"'),
+    "a line break in its id": lambda: server_row("s1\r\nx-evil: 1", 2),
 }
 
 
+def raw_server_row(value):
+    return Row(RowKey(ROW_CODEC.servers_table, "s1"), value, 2)
+
+
+def changed_server_row(part, replacement):
+    value = server_row("s1", 2).value
+    assert value.count(part) == 1, (part, value)
+    return raw_server_row(value.replace(part, replacement))
+
+
 @when("a registration with {fault} arrives")
 def step_invalid_registration(context, fault):
     context.routing_state.apply_row(INVALID_REGISTRATIONS[fault](), 10)
@@ -1081,3 +1111,28 @@
     after = find_owner_of_each(left)
     changed = {name for name, owner in after.items() if owner != context.owner_of[name]}
     assert changed == {name for name, owner in context.owner_of.items() if owner == "wide-0"}
+
+
+@when("3 rows arrive and the handling of the second one fails")
+def step_failing_row(context):
+    state = context.routing_state
+    apply_server = state._apply_server
+
+    def fail_once(row, now_ms):
+        if row.key.key == "n1":
+            raise RuntimeError("row of an unknown shape")
+        apply_server(row, now_ms)
+
+    state._apply_server = fail_once
+    context.lines = []
+    sink = logger.add(context.lines.append, level="ERROR", format="{message}")
+    try:
+        state.apply_rows([server_row(f"n{n}", 2 + n) for n in range(3)], "feed", 10)
+    finally:
+        logger.remove(sink)
+
+
+@then("the servers of the first and the third one are known, and the log has an error line")
+def step_other_rows_known(context):
+    assert set(context.routing_state.servers) == {"s0", "n0", "n2"}
+    assert len(context.lines) == 1 and "n1" in context.lines[0], context.lines
--- a/tests/support/digest_fleet.py
+++ b/tests/support/digest_fleet.py
@@ -51,8 +51,8 @@
         releases = (self.release,) if self.release is not None else ()
         loads = {SERVICE_KEY: self.in_flight, **self.other_loads}
         return OwnState(
-            True, self.leaving, self.reading, {"t": 1}, loads, {SERVICE_KEY: 1.0}, {self.number: 1.0},
-            releases,
+            True, self.leaving, self.reading, {"t": 1}, loads, {SERVICE_KEY: 1.0},
+            {self.number: 1.0}, releases,
         )  # fmt: skip
 
 
--- a/tests/unit/steering/rows.feature
+++ b/tests/unit/steering/rows.feature
@@ -31,6 +31,46 @@
       | slots as text               |
       | bytes that are not JSON     |
       | a list instead of an object |
+      | very deep nesting           |
+      | deep nesting in a field     |
+      | an infinite warm-up time    |
+      | a warm-up time of 400 digits |
+      | slots of 400 digits         |
+      | negative slots              |
+      | a start time of 5000 digits |
+      | a start time that is infinite |
+      | a port out of range         |
+      | a host name as its address  |
+      | an address of another type  |
+      | a service that no text can hold |
+      | a line break in its id      |
+
+  # Reported by other operators: VMs that read one odd entry ended again and again, or no longer followed the list.
+  Scenario Outline: entries after one with <fault> are followed, from the store and from other VMs
+    Given a VM that follows the backend servers
+    When a registration with <fault> is written between two others
+    Then the VM knows the two other servers, and follows a later change
+    And a VM that fetches from it knows them too, and requests are placed on them
+
+    Examples:
+      | fault                       |
+      | bytes that are not JSON     |
+      | very deep nesting           |
+      | an infinite warm-up time    |
+      | slots of 400 digits         |
+      | a port out of range         |
+      | a line break in its id      |
+
+  Scenario: entries of any content add no server that a decision cannot handle
+    Then registrations of random content leave placement, digests and requests working
+
+  Scenario: a value that the store hands out in another encoding spoils no other row of the page
+    Then a page of three rows with one that is not base64 gives two readable ones
+
+  Scenario: a row whose handling fails unexpectedly stops no other row
+    Given a routing state with a server in "a"
+    When 3 rows arrive and the handling of the second one fails
+    Then the servers of the first and the third one are known, and the log has an error line
 
   Scenario: servers whose registrations are lost in a store outage are kept for two seconds
     Given a routing state with a server in "a"
