Test responses that break off at every byte

Other operators reported a 200 with an empty or short body, framed as whole, after a server closed in the middle of a head. A head counts only once it is complete, a body with a length or in chunks only when it has ended, and one without a length only if its connection was closed and not reset.

--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -4,6 +4,8 @@
 import math
 import os
 import random
+import socket
+import struct
 import sys
 import time
 
@@ -231,6 +233,78 @@
     context.server = ScriptedServer(repeat_refusal(""))
 
 
+BROKEN_RESPONSES = {
+    "a length": "content-length: 5\r\n\r\nhello",
+    "chunks": "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    "no length": "connection: close\r\n\r\nhello",
+    "an early hint": "content-length: 5\r\n\r\nhello",
+}
+# Sent on close in place of the usual end of the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class BreakingServer(ScriptedServer):
+    """Breaks off its response to request ``rN`` after N bytes."""
+
+    def __init__(self, framing, reset):
+        super().__init__(self.break_off)
+        prefix = "HTTP/1.1 103 Early Hints\r\n\r\n" if framing == "an early hint" else ""
+        self.template = prefix + OK_HEAD + BROKEN_RESPONSES[framing]
+        self.reset = reset
+
+    def response(self, request_id):
+        return self.template.format(id=request_id).encode()
+
+    async def break_off(self, _server, stream, _number, request_id):
+        await stream.send(self.response(request_id)[: int(request_id[1:])])
+        if self.reset:
+            # The bytes must be read before the reset, which discards those that are not.
+            await anyio.sleep(0.02)
+            raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await stream.aclose()
+
+
+@given("a server that breaks off a response with {framing} by a {end}")
+def step_breaking_server(context, framing, end):
+    context.server = BreakingServer(framing, end == "reset")
+
+
+@when("a booking is sent for each byte at which it can break off")
+def step_book_each(context):
+    context.successes = []
+    whole = len(context.server.response("r0000"))
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, context.server.handle)
+            for cut in range(1, whole + 1):
+                app = make_app(make_steering(f"127.0.0.1:{port}"), CountingRequestLog())
+                with anyio.move_on_after(TEST_LIMIT_S):
+                    events = await call_app(app, f"r{cut:04}")
+                is_ended = any(not event.get("more_body", True) for event in events)
+                if events[0]["status"] == 200 and is_ended:
+                    context.successes.append(cut)
+                await app.dispatcher.connection_pool.aclose()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("no caller gets a success before byte {first} of the response")
+def step_no_early_success(context, first):
+    whole = len(context.server.response("r0000"))
+    body_start = (
+        context.server.response("r0000").index(b"\r\n\r\nhello") if first == ("the body's") else 0
+    )
+    earliest = {"the last": whole, "the body's": body_start + 4, "after the last": whole + 1}[first]
+    assert all(cut >= earliest for cut in context.successes), (context.successes, earliest)
+    if first != "after the last":
+        assert whole in context.successes, (context.successes, whole)
+
+
 @given("a server that refuses without an id")
 def step_refuses_without_id(context):
     context.server = ScriptedServer(refuse_without_id)
--- a/tests/unit/ingress/faulty_servers.feature
+++ b/tests/unit/ingress/faulty_servers.feature
@@ -32,3 +32,19 @@
     When a booking is sent on a new connection
     Then the caller's response was started and never completed
     And it took no longer than the caller's deadline
+
+  # Reported by other operators: a head that broke off became a 200 with an empty body, framed as whole.
+  Scenario Outline: a response with <framing> that breaks off anywhere by a <end> is never passed on as a success
+    Given a server that breaks off a response with <framing> by a <end>
+    When a booking is sent for each byte at which it can break off
+    Then no caller gets a success before byte <first> of the response
+
+    Examples:
+      | framing        | end   | first          |
+      | a length       | close | the last       |
+      | a length       | reset | the last       |
+      | chunks         | close | the last       |
+      | chunks         | reset | the last       |
+      | no length      | close | the body's     |
+      | no length      | reset | after the last |
+      | an early hint  | close | the last       |
