Start no request at a stopping VM that its grace time would cut

Other operators reported that requests that came late in the grace time of a planned stop were passed on and cut at its end. It could happen here: a stopping VM started requests for 52% of the grace time whatever they take, and ended all of them at 88%; with servers that take 1.3 s and 2 s of grace a booking got 504 'may have run'.

Now a request is started only if its own deadline, or 1.25 times the slowest recent ones, ends before the VM ends requests, and never later than 3 s after the signal; otherwise it is refused as not run, and may try another VM at once. Connections that are open stay open, so that a request on them is refused and not cut.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -98,10 +98,14 @@
         """Set for how long at least connections opened from now on are kept open while idle."""
         self.config.timeout_keep_alive = max(KEEP_ALIVE_S, min_idle_ms // 1000 + 1)
 
-    def stop_listening(self) -> None:
-        """Stop accepting connections; close idle ones now and the others after their response."""
+    def stop_accepting(self) -> None:
+        """Stop accepting connections; those that are open are still served."""
         if self.server is not None:
             self.server.close()
+
+    def stop_listening(self) -> None:
+        """Stop accepting connections; close idle ones now and the others after their response."""
+        self.stop_accepting()
         for connection in list(self.server_state.connections):
             connection.shutdown()
 
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -25,6 +25,11 @@
 # Used if the caller sent no deadline, so that the route's timeout applies.
 DEFAULT_CALLER_DEADLINE_MS = 3_600_000
 STARTUP_RETRY_AFTER_S = 0.5
+# Callers of a stopping VM may try another one at once.
+STOPPING_RETRY_AFTER_S = 0.05
+# Time that a stopping VM must have left for a request, as a multiple of what the slowest recent
+# ones took.
+SERVICE_TIME_MARGIN = 1.25
 # Scale of the retry delays after a refusal for lack of processor time.
 OVERLOAD_RETRY_MS = 500
 
@@ -36,8 +41,15 @@
     regions: frozenset[str]
 
 
+class StopTimes(NamedTuple):
+    """When a stopping VM starts the last requests, and when it ends those still running."""
+
+    last_start_ms: int
+    end_ms: int
+
+
 class CallerApp:
-    """Serves callers' requests.
+    """Serves callers' requests. ``stop_times`` is set while the VM is stopping.
 
     ``deadline_scopes`` holds the cancel scope of each request that is being dispatched; cancelling
     it has the same effect as the request's deadline.
@@ -61,6 +73,7 @@
         self.intake = RequestIntake(clock)
         self.running_requests = 0
         self.deadline_scopes: set[anyio.CancelScope] = set()
+        self.stop_times: StopTimes | None = None
 
     def expire_deadlines(self) -> None:
         """Expire the deadline of every running request now, so that each is answered."""
@@ -180,6 +193,10 @@
         caller_deadline_ms = exchange.metadata.deadline_ms or DEFAULT_CALLER_DEADLINE_MS
         timeout_ms = min(caller_deadline_ms - RESPONSE_MARGIN_MS, route.timeout_ms)
         deadline_ms = exchange.arrived_ms + timeout_ms
+        if not self._can_finish(service, deadline_ms):
+            refusal = Refusal(RefusalKind.VM_STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S)
+            await self._send_result(exchange, attempts, refusal)
+            return
         pick_request = PickRequest(
             route,
             service,
@@ -194,6 +211,16 @@
             return
         await self._send_result(exchange, attempts, result)
 
+    def _can_finish(self, service: str, deadline_ms: int) -> bool:
+        """Tell whether a request would end before a stopping VM ends what is still running."""
+        if self.stop_times is None:
+            return True
+        now_ms = self.clock.now_ms()
+        if now_ms > self.stop_times.last_start_ms:
+            return False
+        longest_ms = SERVICE_TIME_MARGIN * self.steering.longest_service_ms(service)
+        return min(deadline_ms, now_ms + longest_ms) <= self.stop_times.end_ms
+
     async def _end_without_caller(
         self, exchange: CallerExchange, attempts: RequestAttempts
     ) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/refusals.py
+++ b/packages/berylbankd/src/berylbankd/_internal/refusals.py
@@ -26,6 +26,7 @@
     OVER_RATE = "over_rate"
     NO_SLOT = "no_slot"
     VM_OVERLOADED = "vm_overloaded"
+    VM_STOPPING = "vm_stopping"
     KEY_WITHDRAWN = "key_withdrawn"
     NO_BACKEND = "no_backend"
     BODY_TOO_LARGE = "body_too_large"
@@ -83,6 +84,9 @@
     RefusalKind.VM_OVERLOADED: RefusalTemplate(
         503, "this VM has more requests than processor time", "retry after a pause at another VM"
     ),
+    RefusalKind.VM_STOPPING: RefusalTemplate(
+        503, "this VM is stopping and could not finish the request", "retry at another VM"
+    ),
     RefusalKind.KEY_WITHDRAWN: RefusalTemplate(
         401, "the key was withdrawn while the request waited", "ask your operator for a key"
     ),
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -42,6 +42,8 @@
 # Weight of the latest sample in the moving averages of demand and service time.
 DEMAND_WEIGHT = 0.36
 SERVICE_TIME_WEIGHT = 0.02
+# With each response, the longest recent service time falls by this factor until one takes longer.
+LONGEST_SERVICE_DECAY = 0.99
 # Service time assumed before the first response.
 INITIAL_SERVICE_MS = 200.0
 # Latencies are taken in whole milliseconds, so those of a fast server can be 0; several decisions
@@ -79,6 +81,7 @@
         self.releases: dict[str, Release] = {}
         self.baseline_latency = BaselineLatency()
         self.mean_service_ms: dict[str, float] = {}
+        self.longest_recent_ms: dict[str, float] = {}
         self.arrivals: dict[str, int] = defaultdict(int)
         self.demands: dict[str, float] = {}
         self.service_credits: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
@@ -183,6 +186,8 @@
         if not failed and not cold:
             mean_ms = self.mean_service_ms.get(service, latency_ms)
             self.mean_service_ms[service] = mean_ms + SERVICE_TIME_WEIGHT * (latency_ms - mean_ms)
+            longest_ms = LONGEST_SERVICE_DECAY * self.longest_recent_ms.get(service, 0.0)
+            self.longest_recent_ms[service] = max(latency_ms, longest_ms)
         if not failed and not pick.new_version:
             self.baseline_latency.record(route.name, latency_ms)
         release = pick.release
@@ -219,6 +224,10 @@
         """Return the mean time to serve a request of a service, without queueing."""
         return max(MIN_SERVICE_MS, self.mean_service_ms.get(service, INITIAL_SERVICE_MS))
 
+    def longest_service_ms(self, service: str) -> float:
+        """Return the time that the slowest recent requests of a service took."""
+        return max(self.expected_service_ms(service), self.longest_recent_ms.get(service, 0.0))
+
     def retry_after_s(self, service: str, now_ms: int) -> float:
         """Return when a caller that was refused for lack of capacity may retry, in seconds.
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -18,7 +18,7 @@
 from berylbankd._internal.feeds.round_trips import RoundTripMeter
 from berylbankd._internal.feeds.row_replicator import RowReplicator
 from berylbankd._internal.http_server import HttpServer
-from berylbankd._internal.ingress.app import CallerApp
+from berylbankd._internal.ingress.app import CallerApp, StopTimes
 from berylbankd._internal.ingress.endpoints import (
     EndpointApp,
     EndpointResponse,
@@ -47,10 +47,13 @@
 # Callers keep the answer of a look-up at most this long, and stop using a VM that is not in the
 # next one.
 MAX_LOOKUP_TTL_MS = 2_000
-# A stopping VM accepts requests for this share of the grace time, as callers still use earlier
-# look-up answers.
-ACCEPT_GRACE_RATIO = 0.52
-# After that it only finishes running requests, until this share of the grace time has passed.
+# A stopping VM starts requests for this share of the grace time, but no longer than the maximum, as
+# callers still use earlier look-up answers.
+ACCEPT_GRACE_RATIO = 0.5
+MAX_ACCEPT_MS = 3_000
+# Connections that were accepted last deliver their requests within this time.
+LAST_REQUESTS_MS = 100
+# After that it refuses new requests and finishes running ones, until this share has passed.
 FINISH_GRACE_RATIO = 0.88
 # Before the daemon exits, it waits this long for the running requests of each HTTP server.
 SERVER_CLOSE_TIMEOUT_S = 0.2
@@ -303,17 +306,23 @@
 
     async def _stop_gracefully(self) -> None:
         """Leave look-up answers, serve callers for a time, then finish running requests."""
-        grace_s = self.deployment.bounds.grace_ms / 1000
+        grace_ms = self.deployment.bounds.grace_ms
+        now_ms = self.clock.now_ms()
+        accept_ms = min(int(grace_ms * ACCEPT_GRACE_RATIO), MAX_ACCEPT_MS)
+        finish_ms = int(grace_ms * FINISH_GRACE_RATIO)
         self.steering.leaving = True
+        self.caller_app.stop_times = StopTimes(
+            now_ms + accept_ms + LAST_REQUESTS_MS, now_ms + finish_ms
+        )
         self.digest_due.set()
         logger.info(
             "stopping: callers move to other VMs, {} requests running",
             self.caller_app.running_requests,
         )
-        await anyio.sleep(grace_s * ACCEPT_GRACE_RATIO)
-        # A request that arrives later could not finish within the grace time.
-        self.caller_server.stop_listening()
-        with anyio.move_on_after(grace_s * (FINISH_GRACE_RATIO - ACCEPT_GRACE_RATIO)):
+        await anyio.sleep(accept_ms / 1000)
+        # Open connections stay, so that requests on them are refused and not cut.
+        self.caller_server.stop_accepting()
+        with anyio.move_on_after((finish_ms - accept_ms) / 1000):
             while self.caller_app.running_requests:
                 await anyio.sleep(RUNNING_REQUESTS_CHECK_INTERVAL_S)
         if self.caller_app.running_requests:
--- a/tests/functional/steering.feature
+++ b/tests/functional/steering.feature
@@ -107,3 +107,17 @@
     When a VM gets SIGTERM and a booking 100 ms later
     Then the booking is answered with 504
     And the VM exits with code 0
+
+  # Reported by other operators: late in the grace time requests were passed on and cut at its end.
+  Scenario Outline: a stopping VM cuts no <kind> that it started, whatever the connection, at <ms> ms a request
+    Given every server takes <ms> ms for a request, which the VMs know
+    When a VM gets SIGTERM while callers send <kind> on open and new connections until it has exited
+    Then each of them was served, refused as not run, or never read by the VM
+    And no server ran a request whose caller got no whole response
+    And the VM exits with code 0
+
+    Examples:
+      | kind     | ms   |
+      | reads    | 700  |
+      | bookings | 700  |
+      | bookings | 1300 |
--- a/tests/steps/steering_fleet_steps.py
+++ b/tests/steps/steering_fleet_steps.py
@@ -372,6 +372,84 @@
     return results
 
 
+@given("every server takes {ms:d} ms for a request, which the VMs know")
+def step_all_slow_known(context, ms):
+    step_all_slow(context, ms)
+    for vm in context.steering.vms:
+        headers = make_headers(context, 1)
+        assert send_request(context, "POST", "/books/x", headers, vm).status_code == 200
+
+
+@when("a VM gets SIGTERM while callers send {kind} on open and new connections until it has exited")
+def step_term_all_connections(context, kind):
+    vm = context.steering.vms[2]
+    context.results = run_in_fleet(context, send_on_all_until_exit, context, vm, kind)
+
+
+async def send_on_all_until_exit(context, vm, kind):
+    """Send requests on 6 open connections, and one on a new connection every 50 ms."""
+    results = {}
+    method, path = ("GET", "/reads/x") if kind == "reads" else ("POST", "/books/x")
+    url = context.steering.url(vm, path)
+
+    async def send(client, headers):
+        try:
+            response = await client.request(
+                method, url, headers=headers, content=None if method == "GET" else b"a booking"
+            )
+            results[headers["x-request-id"]] = (response.status_code, response.text)
+        except httpx.HTTPError as error:
+            results[headers["x-request-id"]] = (type(error).__name__, "")
+
+    async def keep_sending(number):
+        async with httpx.AsyncClient(verify=False, timeout=5) as client:
+            while vm.process.returncode is None:
+                await send(client, make_headers(context, number))
+                await anyio.sleep(0.02 * (number + 1))
+
+    async with anyio.create_task_group() as group:
+        for number in range(6):
+            group.start_soon(keep_sending, number)
+        await anyio.sleep(0.3)
+        os.kill(vm.process.pid, signal.SIGTERM)
+        async with httpx.AsyncClient(
+            limits=httpx.Limits(max_keepalive_connections=0), verify=False, timeout=5
+        ) as client:
+            async with anyio.create_task_group() as new_connections:
+                number = 10
+                while vm.process.returncode is None:
+                    new_connections.start_soon(send, client, make_headers(context, number))
+                    number += 1
+                    await anyio.sleep(0.05)
+    return results
+
+
+def count_runs(context, request_id):
+    return sum(server.run_counts[request_id] for server in context.steering.servers.values())
+
+
+@then("each of them was served, refused as not run, or never read by the VM")
+def step_served_or_refused(context):
+    log = context.steering.read_log(context.steering.vms[2])
+    for request_id, (status, body) in context.results.items():
+        if status == 503:
+            assert json.loads(body)["ran"] == "no", body
+        elif status != 200:
+            assert isinstance(status, str) and request_id not in log, (request_id, status, body)
+
+
+@then("no server ran a request whose caller got no whole response")
+def step_no_run_unanswered(context):
+    served = [name for name, (status, _) in context.results.items() if status == 200]
+    assert len(served) > 5, context.results
+    unanswered = [
+        (request_id, status)
+        for request_id, (status, _) in context.results.items()
+        if status != 200 and count_runs(context, request_id)
+    ]
+    assert not unanswered, unanswered
+
+
 @then("every request that the VM read was served")
 def step_read_served(context):
     ran = {
