Keep a limited server's few requests for its own objects

Any object used the tokens of any limited server, so all of them were slow there.

A limited server takes only objects that rank it among their first two; 95% of the limit is used, and two holders share from 1.5 a second on.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/placement.py
@@ -158,6 +158,9 @@
         for rank, state in enumerate(self._rank_usable(usable, query, now_ms)):
             if state.registration.id in query.tried:
                 continue
+            if state.limit is not None and query.object_key and rank >= query.servers_per_object:
+                # Its few requests are for its own objects, which it handles fastest.
+                continue
             placement = Placement(state, rank, state.load(now_ms))
             slots = compute_effective_slots(state, median_ms)
             if query.object_key and not candidates:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/server_limits.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/server_limits.py
@@ -14,10 +14,10 @@
 from berylbankd._internal.steering.hashing import hash_to_fraction
 
 # Share of the limit that the holders use together.
-USED_LIMIT_SHARE = 0.9
+USED_LIMIT_SHARE = 0.95
 MAX_HOLDERS = 4
 # A holder gets at least this many requests per second, otherwise there are fewer holders.
-MIN_HOLDER_RATE_PER_S = 1.0
+MIN_HOLDER_RATE_PER_S = 0.75
 # Bucket capacity, as seconds of a holder's rate; at least one request.
 BUCKET_CAPACITY_S = 0.25
 # A VM that becomes a holder of a known limit waits until the others have learned of it.
