--- a/tests/steps/steering_fleet_steps.py
+++ b/tests/steps/steering_fleet_steps.py
@@ -412,15 +412,17 @@
             group.start_soon(keep_sending, number)
         await anyio.sleep(0.3)
         os.kill(vm.process.pid, signal.SIGTERM)
-        async with httpx.AsyncClient(
-            limits=httpx.Limits(max_keepalive_connections=0), verify=False, timeout=5
-        ) as client:
-            async with anyio.create_task_group() as new_connections:
-                number = 10
-                while vm.process.returncode is None:
-                    new_connections.start_soon(send, client, make_headers(context, number))
-                    number += 1
-                    await anyio.sleep(0.05)
+        async with (
+            httpx.AsyncClient(
+                limits=httpx.Limits(max_keepalive_connections=0), verify=False, timeout=5
+            ) as client,
+            anyio.create_task_group() as new_connections,
+        ):
+            number = 10
+            while vm.process.returncode is None:
+                new_connections.start_soon(send, client, make_headers(context, number))
+                number += 1
+                await anyio.sleep(0.05)
     return results
 
 
