Start following the store when a VM becomes a reader later

Since a VM that was no reader at its first check never followed the store: each check replaced the event that its tasks wait for. The event is renewed only when the role ends now. The new scenario of readers.feature runs the replicator itself and failed before; the simulation beside it only covers the choice.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -193,12 +193,13 @@
     def _update_reader_role(self) -> None:
         readers = self.membership.choose_readers(self.clock.now_ms())
         is_reader = self.membership.vm in readers
-        if is_reader != self.is_reader:
-            logger.info(
-                "this VM is now a reader of the store: {}; all readers: {}",
-                is_reader,
-                sorted(readers),
-            )
+        if is_reader == self.is_reader:
+            return
+        logger.info(
+            "this VM is now a reader of the store: {}; all readers: {}",
+            is_reader,
+            sorted(readers),
+        )
         self.is_reader = is_reader
         if is_reader:
             self.became_reader.set()
--- a/tests/steps/reader_steps.py
+++ b/tests/steps/reader_steps.py
@@ -2,9 +2,13 @@
 
 import random
 
+import anyio
 from behave import given, then, when
 
+from berylbank._internal.utils.clock import BootClock
+from berylbankd._internal.steering.membership import compute_reader_rank
 from tests.support.reader_fleet import ReaderFleet
+from tests.support.replication import ReplicatingFleet, make_positions_digest
 
 FAILURE_MS = {"resets the connections of": 50, "no longer answers": 1_600}
 SETTLE_S = 6
@@ -40,3 +44,63 @@
 @then("at most {count:d} VMs call the store each time")
 def step_few_callers(context, count):
     assert max(context.tried) <= count, context.tried
+
+
+@given("a VM beside two live readers that rank before it")
+def step_beside_readers(context):
+    fleet = ReplicatingFleet(6)
+    ranked = sorted(fleet.vms, key=lambda vm: compute_reader_rank(vm.name))
+    context.readers, context.vm = ranked[:2], ranked[2]
+    context.vm.replicator.clock = BootClock()
+    context.follow_fleet = fleet
+
+
+def hear_readers(context, reading, sequence):
+    vm = context.vm
+    now_ms = vm.replicator.clock.now_ms()
+    for reader in context.readers:
+        digest = make_positions_digest(reader, {"t": sequence}, reading=reading)
+        vm.membership.record_digest(digest, now_ms)
+        vm.membership.update(now_ms)
+        vm.replicator.handle_digest(digest)
+
+
+@when("it runs for {seconds:f} s and the readers then state that the store does not answer them")
+def step_readers_fail(context, seconds):
+    store = context.follow_fleet.store
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            hear_readers(context, True, 1)
+            group.start_soon(context.vm.replicator.run)
+            sequence = 1
+            for _ in range(int(seconds * 10)):
+                await anyio.sleep(0.1)
+                sequence += 1
+                hear_readers(context, True, sequence)
+            context.calls_before = dict(store.followed)
+            hear_readers(context, False, sequence + 1)
+            await anyio.sleep(0.5)
+            context.calls_after = dict(store.followed)
+            # Their failure is forgotten after some seconds; then two readers are enough again.
+            for _ in range(35):
+                await anyio.sleep(0.1)
+                sequence += 1
+                hear_readers(context, True, sequence + 1)
+            calls = sum(store.followed.values())
+            await anyio.sleep(0.5)
+            context.calls_later = sum(store.followed.values()) - calls
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("it follows both tables of the store within 0.5 s, and had not called the store before")
+def step_follows_store(context):
+    assert context.calls_before == {}, context.calls_before
+    assert len(context.calls_after) == 2, context.calls_after
+
+
+@then("it stops following once the readers are served again")
+def step_stops_following(context):
+    assert context.calls_later == 0, context.calls_later
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -39,6 +39,7 @@
         self.revision = 0
         self.changes = []
         self.reads = 0
+        self.followed = {}
 
     def put(self, key, value):
         self.revision += 1
@@ -53,6 +54,11 @@
         rows = tuple(row for row in self.live_rows().values() if row.key.table == table)
         return TableSnapshot(table, rows, self.revision)
 
+    async def wait_for_changes(self, table, after_revision, wait_ms):
+        self.followed[table] = self.followed.get(table, 0) + 1
+        await anyio.sleep(0.1)
+        return self.batch_after(table, after_revision)
+
     async def write(self, key, value, expected_revision):
         assert self.live_rows().get(key, Row(key, None, 0)).revision == expected_revision
         self.put(key, value)
@@ -108,9 +114,9 @@
         return {row.key for row in rows if row.key.table == table and row.value is not None}
 
 
-def make_positions_digest(source, positions):
+def make_positions_digest(source, positions, *, reading=True):
     sequence = max(positions.values())
-    member = Member(source.name, source.host, "", "a", 1, sequence, 1.0, True, False, True)
+    member = Member(source.name, source.host, "", "a", 1, sequence, 1.0, True, False, reading)
     return StateDigest(
         DigestScope.VM,
         source.name,
--- a/tests/unit/feeds/readers.feature
+++ b/tests/unit/feeds/readers.feature
@@ -13,3 +13,9 @@
       | 82  | resets the connections of     | 8     | 1.0     | 24    |
       | 195 | resets the connections of     | 2     | 1.0     | 24    |
       | 82  | no longer answers             | 3     | 2.0     | 24    |
+
+  Scenario: a VM that was no reader for some time follows the store as soon as the readers fail
+    Given a VM beside two live readers that rank before it
+    When it runs for 1.5 s and the readers then state that the store does not answer them
+    Then it follows both tables of the store within 0.5 s, and had not called the store before
+    And it stops following once the readers are served again
