--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -221,6 +221,12 @@
         longest_ms = SERVICE_TIME_MARGIN * self.steering.longest_service_ms(service)
         return min(deadline_ms, now_ms + longest_ms) <= self.stop_times.end_ms
 
+    def longest_request_ms(self) -> int:
+        """Return the time that a stopping VM must have left for a request of any service."""
+        services = self.steering.longest_recent_ms
+        longest_ms = max(map(self.steering.longest_service_ms, services), default=0.0)
+        return int(SERVICE_TIME_MARGIN * longest_ms)
+
     async def _end_without_caller(
         self, exchange: CallerExchange, attempts: RequestAttempts
     ) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -308,8 +308,14 @@
         """Leave look-up answers, serve callers for a time, then finish running requests."""
         grace_ms = self.deployment.bounds.grace_ms
         now_ms = self.clock.now_ms()
-        accept_ms = min(int(grace_ms * ACCEPT_GRACE_RATIO), MAX_ACCEPT_MS)
         finish_ms = int(grace_ms * FINISH_GRACE_RATIO)
+        # Callers whose connections are refused use other VMs at once.
+        accept_ms = min(
+            int(grace_ms * ACCEPT_GRACE_RATIO),
+            MAX_ACCEPT_MS,
+            finish_ms - self.caller_app.longest_request_ms() - LAST_REQUESTS_MS,
+        )
+        accept_ms = max(0, accept_ms)
         self.steering.leaving = True
         self.caller_app.stop_times = StopTimes(
             now_ms + accept_ms + LAST_REQUESTS_MS, now_ms + finish_ms
