Read decimal headers and the caller's deadline in one place each

Found on reading the change again: two headers parsed a decimal number by the same lines, and the default of the caller's deadline stood twice. Behaviour is the same.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -105,8 +105,7 @@
         await self.intake.run()
 
     async def _serve_exchange(self, exchange: CallerExchange, attempts: RequestAttempts) -> None:
-        deadline_ms = exchange.metadata.deadline_ms or DEFAULT_CALLER_DEADLINE_MS
-        if not await self.intake.admit(exchange.arrived_ms, deadline_ms):
+        if not await self.intake.admit(exchange.arrived_ms, get_caller_deadline_ms(exchange)):
             retry_after_s = self.steering.retry_delays.next_delay_ms(OVERLOAD_RETRY_MS) / 1000
             refusal = Refusal(RefusalKind.VM_OVERLOADED, retry_after_s=retry_after_s)
             await self._send_result(exchange, attempts, refusal)
@@ -190,8 +189,8 @@
         route = admitted.route
         service = self.steering.choose_service(route)
         self.steering.record_arrival(service)
-        caller_deadline_ms = exchange.metadata.deadline_ms or DEFAULT_CALLER_DEADLINE_MS
-        timeout_ms = min(caller_deadline_ms - RESPONSE_MARGIN_MS, route.timeout_ms)
+        caller_wait_ms = get_caller_deadline_ms(exchange) - RESPONSE_MARGIN_MS
+        timeout_ms = min(caller_wait_ms, route.timeout_ms)
         deadline_ms = exchange.arrived_ms + timeout_ms
         if not self._can_finish(service, deadline_ms):
             refusal = Refusal(RefusalKind.VM_STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S)
@@ -357,6 +356,11 @@
         )
 
 
+def get_caller_deadline_ms(exchange: CallerExchange) -> int:
+    """Return how long the caller waits for the response."""
+    return exchange.metadata.deadline_ms or DEFAULT_CALLER_DEADLINE_MS
+
+
 def intersect_regions(route: Route, organisation: Organisation | None) -> frozenset[str] | None:
     """Return the regions that both the route and the organisation allow.
 
--- a/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
@@ -102,20 +102,22 @@
 
 def _parse_seconds(value: bytes | None) -> int | None:
     """Return a number of seconds in milliseconds, or None if there is no valid one."""
-    try:
-        milliseconds = float(value or b"") * 1000
-    except ValueError:
-        return None
+    milliseconds = _parse_number(value) * 1000
     return int(milliseconds) if math.isfinite(milliseconds) and milliseconds >= 0 else None
 
 
 def _parse_rate(value: bytes | None) -> float | None:
     """Return a number of requests per second, or None if there is no valid one."""
+    rate_per_s = _parse_number(value)
+    return rate_per_s if math.isfinite(rate_per_s) and rate_per_s > 0 else None
+
+
+def _parse_number(value: bytes | None) -> float:
+    """Return a decimal number, or not-a-number for anything else."""
     try:
-        rate_per_s = float(value or b"")
+        return float(value or b"")
     except ValueError:
-        return None
-    return rate_per_s if math.isfinite(rate_per_s) and rate_per_s > 0 else None
+        return math.nan
 
 
 def _parse_load(value: bytes | None) -> ReportedLoad | None:
