review: case 2, bookings that ran are answered as not run after a freeze

REFUSED: a booking whose answer closes its connection, and is read together with the route's timeout when the machine wakes, is answered 503, not run.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import sys
 import time
 import traceback
 from collections.abc import Awaitable, Callable
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -113,6 +113,16 @@
         assert self.process is not None
         os.kill(self.process.pid, number)
 
+    def read_memory_mb(self) -> float:
+        """Return the resident memory of the process."""
+        assert self.process is not None
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        sizes = [line.split()[1] for line in status.splitlines() if line.startswith("VmRSS:")]
+        return int(sizes[0]) / 1024 if sizes else 0.0
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         if self.process is not None and self.process.poll() is None:
--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
-from standins.http import Message, encode_response, read_head, read_message
+from standins.http import Message, encode_response, read_message
 from standins.store import Store
 
 
@@ -16,7 +16,7 @@
     status: int = 200
     ran: bool = True
     close: bool = False
-    fails: bool = False
+    endless: bool = False
 
 
 class Run(NamedTuple):
@@ -40,6 +40,19 @@
     return hashlib.sha256(body).hexdigest()[:16]
 
 
+async def send_without_end(
+    writer: asyncio.StreamWriter, headers: dict[str, str], body: bytes
+) -> None:
+    """Send an answer in chunks whose trailer section does not end, until the caller closes."""
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers.items())]
+    lines.append("Transfer-Encoding: chunked")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    writer.write(head + b"%x\r\n%b\r\n0\r\n" % (len(body), body))
+    while not writer.is_closing():
+        writer.write(b"a: b\r\n" * 5_000)
+        await writer.drain()
+
+
 class Instance:
     """An instance; ``behave`` decides on its answers, ``runs`` lists what all instances ran."""
 
@@ -127,24 +140,26 @@
         if answer.close:
             headers["Connection"] = "close"
         body = f"{self.name} {self.version} {request_id}".encode()
+        if answer.endless:
+            await send_without_end(writer, headers, body)
+            return False
         writer.write(encode_response(answer.status, headers, body))
         await writer.drain()
         return not answer.close
 
     def record_run(self, message: Message) -> None:
         """Record that the instance has begun to work on a request."""
-        self.runs.append(
-            Run(
-                time.monotonic(),
-                self.name,
-                self.version,
-                message.headers.get("x-request-id", ""),
-                message.headers.get("x-tenant", ""),
-                message.start[1],
-                len(message.body),
-                digest(message.body),
-            )
+        self.runs.append(self.make_run(message))
+
+    def make_run(self, message: Message) -> Run:
+        """Return the record of a run that begins now."""
+        return Run(
+            time.monotonic(),
+            self.name,
+            self.version,
+            message.headers.get("x-request-id", ""),
+            message.headers.get("x-tenant", ""),
+            message.start[1],
+            len(message.body),
+            digest(message.body),
         )
-
-
-__all__ = ["Answer", "Behaviour", "Instance", "Run", "digest", "read_head"]
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 from typing import Any
@@ -11,7 +12,10 @@
 
 
 class Store:
-    """The rows by table and key; ``history`` holds every change in order."""
+    """The rows by table and key; ``history`` holds every change in order.
+
+    While ``busy`` is set every call gets 503, and nothing is done.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], dict[str, Any]] = {}
@@ -19,6 +23,7 @@
         self.revision = 0
         self.changed = asyncio.Event()
         self.address = ""
+        self.busy = False
 
     async def start(self, host: str) -> None:
         """Listen on a free port of a loopback address."""
@@ -65,6 +70,8 @@
     async def _answer(
         self, path: str, query: dict[str, str], body: bytes
     ) -> tuple[int, dict[str, Any]]:
+        if self.busy:
+            return 503, {}
         if path == "/v1/rows-get":
             rows = [
                 row
@@ -90,10 +97,8 @@
             remaining_s = end_s - time.monotonic()
             if rows or remaining_s <= 0:
                 return rows
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), remaining_s)
-            except TimeoutError:
-                pass
 
     def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         conditions = body.get("expectedRev", [])
