--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -139,8 +139,11 @@
         self.folder = tempfile.TemporaryDirectory()
         self.nodes: list[Node] = []
 
-    def start_node(self, node: Node, *, bootstrap: bool) -> None:
-        """Write the settings file of a machine, and start its process."""
+    def start_node(self, node: Node, *, bootstrap: bool, store_address: str = "") -> None:
+        """Write the settings file of a machine, and start its process.
+
+        ``store_address`` is given where the machine reaches the store through a link.
+        """
         ports, path = node.ports, Path(self.folder.name) / f"{node.name}.toml"
         bounds = ",".join(f'"{item}"' for item in BOUNDS)
         lines = [
@@ -169,7 +172,7 @@
             "maxFds = 4100",
             "bandwidthMbps = 1000.0",
             "[platform]",
-            f'address = "{self.store_address}"',
+            f'address = "{store_address or self.store_address}"',
             'form = "table"',
             "historyS = 20",
         ]
--- a/review/standins/links.py
+++ b/review/standins/links.py
@@ -41,17 +41,23 @@
         await loop.create_datagram_endpoint(
             lambda: DatagramLink(self, node), local_addr=(node.ip, port)
         )
+        await self.open_stream(node.ip, port, f"{node.ip}:{node.ports.ephemeral}")
+
+    async def open_stream(self, host: str, port: int, far_address: str) -> str:
+        """Pass connections on to an address; return the address at which they are accepted."""
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._connect(node, reader, writer)
+            await self._connect(far_address, reader, writer)
 
-        await asyncio.start_server(serve, node.ip, port)
+        server = await asyncio.start_server(serve, host, port)
+        return f"{host}:{server.sockets[0].getsockname()[1]}"
 
     async def _connect(
-        self, node: Node, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, far_address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        far_host, far_port = far_address.split(":")
         try:
-            far_reader, far_writer = await asyncio.open_connection(node.ip, node.ports.ephemeral)
+            far_reader, far_writer = await asyncio.open_connection(far_host, int(far_port))
         except OSError:
             writer.transport.abort()
             return
