--- a/review/2/case.py
+++ b/review/2/case.py
@@ -35,8 +35,8 @@
 BETWEEN_ROUNDS_S = 5.0
 # Look-ups that keep the process about half busy, as a process is often in the middle of its work
 # when its machine freezes.
-LOOKUP_CLIENTS = 8
-LOOKUP_PAUSE_S = 0.01
+LOOKUP_CLIENTS = 10
+LOOKUP_PAUSE_S = 0.006
 PROMISING_STATUSES = ("408", "421", "429", "503")
 
 
