--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import os
+import signal
+import sys
 import time
 import traceback
 from collections.abc import Awaitable, Callable
@@ -27,6 +29,20 @@
         self.file.flush()
 
 
+def count_most(times_s: list[tuple[float, float]], window_s: float) -> tuple[int, float]:
+    """Return the most requests that were sent and arrived inside a window, and its start.
+
+    Each request has the times of its sending and of its arrival.
+    """
+    most, from_s = 0, 0.0
+    for start_s, _ in times_s:
+        end_s = start_s + window_s
+        count = sum(start_s <= sent_s and arrived_s < end_s for sent_s, arrived_s in times_s)
+        if count > most:
+            most, from_s = count, start_s
+    return most, from_s
+
+
 def has_trouble() -> bool:
     """Tell whether the disruption is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -34,6 +50,8 @@
 
 def run_case(folder: Path, play: Callable[[Record], Awaitable[bool]]) -> None:
     """Play a case and exit; ``play`` returns whether the rule held."""
+    # Ends the processes that were started, also where the case is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(folder / "record.txt")
     record.write(f"trouble: {has_trouble()}")
     status = COULD_NOT_RUN
@@ -42,6 +60,8 @@
         status = HELD if held else BROKEN
     except CouldNotRunError as error:
         record.write(f"could not run: {error}")
+    except (SystemExit, KeyboardInterrupt):
+        record.write("could not run: stopped from outside")
     except Exception:
         record.write(f"could not run: {traceback.format_exc()}")
     record.write({HELD: "the rule held", BROKEN: "the rule was broken"}.get(status, "no result"))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -220,9 +220,17 @@
 
 
 def make_configuration(
-    routes: list[list[Any]], services: list[str], *, rate_per_s: float, burst: float
+    routes: list[list[Any]],
+    services: list[str],
+    *,
+    rate_per_s: float,
+    burst: float,
+    warmup: tuple[float, float] = (3.0, 22.0),
 ) -> dict[str, Any]:
-    """Return a configuration; a route is name, prefix, kind, service, timeout and attempts."""
+    """Return a configuration; a route is name, prefix, kind, service, timeout and attempts.
+
+    ``warmup`` holds ``warmupS`` and ``warmupPerS`` of each service.
+    """
     columns = ["name", "host", "prefix", "kind", "service", "timeoutS", "maxAttempts"]
     columns += ["targetLatencyS", "priority"]
     rows = [
@@ -233,7 +241,8 @@
         "version": "r1",
         "routes": make_table(columns, rows),
         "services": make_table(
-            ["name", "healthPath", "maxConnections"], [[name, "/health", 330] for name in services]
+            ["name", "healthPath", "maxConnections", "warmupS", "warmupPerS"],
+            [[name, "/health", 330, *warmup] for name in services],
         ),
         "tenants": make_table(
             ["name", "apiKeys", "ratePerS", "burst"],
--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -79,6 +79,7 @@
         self.running = 0
         self.address = ""
         self.sequence = 0
+        self.warmup_left_s = 0.0
         self.server: asyncio.Server | None = None
         self.connections: set[asyncio.StreamWriter] = set()
 
@@ -91,7 +92,7 @@
     def register(self, state: str) -> None:
         """Write the entry in the store."""
         self.sequence += 1
-        status = {"state": state, "sequence": self.sequence, "warmupLeftS": 0}
+        status = {"state": state, "sequence": self.sequence, "warmupLeftS": self.warmup_left_s}
         info = {
             "service": self.service,
             "version": self.version,
--- a/review/standins/links.py
+++ b/review/standins/links.py
@@ -1,8 +1,8 @@
-"""Links between regions: loopback proxies between the processes, which can be cut.
+"""Links between machines: loopback proxies between the processes, which can be cut.
 
-The processes of each region use ports of their own for the traffic between nodes. A proxy stands at
-each port of another region and passes datagrams and connections on, so that every process finds all
-others at the same ports as its own.
+Every machine uses a port of its own for the traffic between nodes. On each machine's address a
+proxy stands at the port of every other machine, and passes datagrams and connections on, so that
+every process finds all others at the same port as its own.
 """
 
 import asyncio
@@ -12,11 +12,12 @@
 
 
 class DatagramLink(asyncio.DatagramProtocol):
-    """Passes datagrams on to a node unless the links are cut."""
+    """Passes one machine's datagrams on to another unless the link is cut."""
 
-    def __init__(self, links: "RegionLinks", node: Node) -> None:
+    def __init__(self, links: "Links", sender: Node, receiver: Node) -> None:
         self.links = links
-        self.node = node
+        self.sender = sender
+        self.receiver = receiver
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -24,49 +25,55 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
-        """Pass a datagram on, or drop it while the links are cut."""
-        if self.transport is not None and not self.links.cut:
-            self.transport.sendto(data, (self.node.ip, self.node.ports.ephemeral))
+        """Pass a datagram on, or drop it while the link is cut."""
+        if self.transport is not None and not self.links.is_cut(self.sender, self.receiver):
+            self.transport.sendto(data, (self.receiver.ip, self.receiver.ports.ephemeral))
 
 
-class RegionLinks:
-    """All links between regions; while ``cut`` is set they carry nothing."""
+class Links:
+    """All links; ``cut_off`` holds the names of the machines whose links carry nothing."""
 
     def __init__(self) -> None:
-        self.cut = False
+        self.cut_off: set[str] = set()
 
-    async def open(self, node: Node, port: int) -> None:
-        """Stand at a port of a node's address for the processes of another region."""
-        loop = asyncio.get_running_loop()
+    def is_cut(self, *ends: Node) -> bool:
+        """Tell whether a link between machines, or from one to the store, is cut."""
+        return any(end.name in self.cut_off for end in ends)
+
+    async def open(self, sender: Node, receiver: Node) -> None:
+        """Open the link on which one machine reaches another."""
+        loop, port = asyncio.get_running_loop(), sender.ports.ephemeral
         await loop.create_datagram_endpoint(
-            lambda: DatagramLink(self, node), local_addr=(node.ip, port)
+            lambda: DatagramLink(self, sender, receiver), local_addr=(receiver.ip, port)
         )
-        await self.open_stream(node.ip, port, f"{node.ip}:{node.ports.ephemeral}")
+        far_address = f"{receiver.ip}:{receiver.ports.ephemeral}"
+        await self._open_stream(receiver.ip, port, far_address, sender, receiver)
 
-    async def open_stream(self, host: str, port: int, far_address: str) -> str:
-        """Pass connections on to an address; return the address at which they are accepted."""
+    async def open_store(self, sender: Node, store_address: str) -> str:
+        """Open the link on which a machine reaches the store; return the address of its end."""
+        return await self._open_stream(sender.ip, 0, store_address, sender)
 
+    async def _open_stream(self, host: str, port: int, far_address: str, *ends: Node) -> str:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._connect(far_address, reader, writer)
+            far_host, far_port = far_address.split(":")
+            try:
+                far_reader, far_writer = await asyncio.open_connection(far_host, int(far_port))
+            except OSError:
+                writer.transport.abort()
+                return
+            await asyncio.gather(
+                self._copy(reader, far_writer, ends), self._copy(far_reader, writer, ends)
+            )
 
         server = await asyncio.start_server(serve, host, port)
         return f"{host}:{server.sockets[0].getsockname()[1]}"
 
-    async def _connect(
-        self, far_address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ends: tuple[Node, ...]
     ) -> None:
-        far_host, far_port = far_address.split(":")
-        try:
-            far_reader, far_writer = await asyncio.open_connection(far_host, int(far_port))
-        except OSError:
-            writer.transport.abort()
-            return
-        await asyncio.gather(self._copy(reader, far_writer), self._copy(far_reader, writer))
-
-    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while data := await reader.read(65_536):
-                while self.cut:
+                while self.is_cut(*ends):
                     await asyncio.sleep(0.05)
                 writer.write(data)
                 await writer.drain()
