--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,6 +23,7 @@
 from standins.instance import Answer, Instance, Run, digest  # noqa: E402
 from standins.store import Store  # noqa: E402
 
+HOST = "127.0.2.1"
 INSTANCES = 7
 # All instances are grey for 8 s and turn 45 of 100 requests away; the site file has up to 55 of 100
 # for 8.5 s.
@@ -82,7 +83,7 @@
         await instance.start("127.0.0.1")
     deployment = Deployment(store.address, {"mid-one": "mid-sweden"})
     try:
-        node = Node("edge-1", "127.0.2.1", "mid-one", Ports(*find_free_ports(4)))
+        node = Node("edge-1", HOST, "mid-one", Ports(*find_free_ports(4, [HOST])))
         deployment.start_node(node, bootstrap=True)
         await deployment.wait_ready(node)
         grey_period.start_traffic()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,6 +21,8 @@
 from standins.instance import Answer, Instance, Run  # noqa: E402
 from standins.store import Store  # noqa: E402
 
+# One machine of nine freezes; the site file has a share of 0.11.
+HOSTS = [f"127.0.3.{number + 1}" for number in range(9)]
 INSTANCES = 4
 ROUNDS = 8
 REQUESTS_PER_ROUND = 12
@@ -67,9 +69,16 @@
         await instance.start("127.0.0.1")
     deployment = Deployment(store.address, {"mid-one": "mid-sweden"})
     try:
-        node = Node("edge-1", "127.0.3.1", "mid-one", Ports(*find_free_ports(4)))
-        deployment.start_node(node, bootstrap=True)
-        await deployment.wait_ready(node)
+        ports = Ports(*find_free_ports(4, HOSTS))
+        nodes = [
+            Node(f"edge-{number}", host, "mid-one", ports)
+            for number, host in enumerate(HOSTS, start=1)
+        ]
+        for node in nodes:
+            deployment.start_node(node, bootstrap=True)
+        for node in nodes:
+            await deployment.wait_ready(node)
+        node = nodes[0]
         lookups = [
             asyncio.create_task(send_lookups(node, index)) for index in range(LOOKUP_CLIENTS)
         ]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,6 +23,7 @@
 from standins.store import Store  # noqa: E402
 
 SERVICE = "hold-ledger"
+HOST = "127.0.6.1"
 INSTANCES = 7
 CLIENTS = 24
 PLAY_S = 20.0
@@ -78,7 +79,7 @@
             await instance.start("127.0.0.1")
         deployment = Deployment(store.address, {"mid-one": "mid-sweden"})
         try:
-            node = Node("edge-1", "127.0.6.1", "mid-one", Ports(*find_free_ports(4)))
+            node = Node("edge-1", HOST, "mid-one", Ports(*find_free_ports(4, [HOST])))
             deployment.start_node(node, bootstrap=True)
             await deployment.wait_ready(node)
             self.started_s = time.monotonic()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -26,6 +26,7 @@
 SERVICE = "lookup-desk"
 # Two of six machines are cut off from all others; the site file has a share of up to 0.35.
 NODES, CUT_NODES = 6, 2
+HOSTS = [f"127.0.7.{number + 1}" for number in range(NODES)]
 WARM_INSTANCES = 3
 WARMUP_S, WARMUP_PER_S = 3.0, 22.0
 OVERAGE, SLACK, WINDOW_S = 1.5, 5, 1.0
@@ -60,11 +61,11 @@
     for instance in instances[:-1]:
         await instance.start("127.0.0.1")
     deployment, links = Deployment(store.address, {"mid-one": "mid-sweden"}), Links()
-    http, readiness, directory, *ephemeral = find_free_ports(3 + NODES)
+    http, readiness, directory, *ephemeral = find_free_ports(3 + NODES, HOSTS)
     nodes = [
         Node(
             f"edge-{number}",
-            f"127.0.7.{number + 1}",
+            HOSTS[number],
             "mid-one",
             Ports(http, readiness, directory, port),
         )
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -63,24 +63,25 @@
     ephemeral: int
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free on every address; each is followed by 15 free ones."""
+def find_free_ports(count: int, hosts: list[str]) -> list[int]:
+    """Return ports that are free on loopback addresses; each is followed by 15 free ones."""
     found: list[int] = []
     # Cases that run at the same time begin at different ports.
     start = 21_000 + os.getpid() % 300 * 32
     for first in range(start, 31_500, 16):
-        if all(_is_free(port) for port in range(first, first + 16)):
+        ports = range(first, first + 16)
+        if all(_is_free(host, port) for host in hosts for port in ports):
             found.append(first)
             if len(found) == count:
                 return found
     raise CouldNotRunError("no free ports")
 
 
-def _is_free(port: int) -> bool:
+def _is_free(host: str, port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
-                probe.bind(("", port))
+                probe.bind((host, port))
             except OSError:
                 return False
     return True
@@ -136,15 +137,23 @@
     def __init__(self, store_address: str, regions: dict[str, str]) -> None:
         self.store_address = store_address
         self.regions = regions
-        self.folder = tempfile.TemporaryDirectory()
+        self.temporary_folder: tempfile.TemporaryDirectory[str] | None = None
         self.nodes: list[Node] = []
 
+    @property
+    def folder(self) -> Path:
+        """Return the folder of the settings files and the logs."""
+        assert self.temporary_folder is not None
+        return Path(self.temporary_folder.name)
+
     def start_node(self, node: Node, *, bootstrap: bool, store_address: str = "") -> None:
         """Write the settings file of a machine, and start its process.
 
         ``store_address`` is given where the machine reaches the store through a link.
         """
-        ports, path = node.ports, Path(self.folder.name) / f"{node.name}.toml"
+        if self.temporary_folder is None:
+            self.temporary_folder = tempfile.TemporaryDirectory()
+        ports, path = node.ports, self.folder / f"{node.name}.toml"
         bounds = ",".join(f'"{item}"' for item in BOUNDS)
         lines = [
             f'nodeName = "{node.name}"',
@@ -182,7 +191,7 @@
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["BERYLBANK_NODE_FILE"] = str(path)
-        with (Path(self.folder.name) / f"{node.name}.log").open("ab") as log:
+        with (self.folder / f"{node.name}.log").open("ab") as log:
             node.process = subprocess.Popen(
                 read_command(), cwd=ROOT, env=environment, stdout=log, stderr=log
             )
@@ -203,7 +212,7 @@
 
     def read_log(self, node: Node) -> str:
         """Return what a process has written."""
-        return (Path(self.folder.name) / f"{node.name}.log").read_text()
+        return (self.folder / f"{node.name}.log").read_text()
 
     def close(self) -> None:
         """Kill all processes that were started."""
@@ -211,7 +220,8 @@
             if node.process is not None and node.process.poll() is None:
                 node.process.send_signal(signal.SIGCONT)
             node.kill()
-        self.folder.cleanup()
+        if self.temporary_folder is not None:
+            self.temporary_folder.cleanup()
 
 
 def make_table(columns: list[str], rows: list[list[Any]]) -> dict[str, Any]:
