Keep the outcome of a request whose deadline passes while its connection is closed

Cause: may_have_run was reset after each outcome that is no failure, also after a success, and closing the connection was an await that the deadline could cancel. The cancellation dropped the answer, and the deadline's answer then said "not run". Ruled out: a refusal at admission (the ids are among the servers' runs), an answer read as a refusal (no such header was sent).

Change: may_have_run is false only for outcomes that prove that nothing ran, and closing a connection can't be cancelled. The failure of a hung server is recorded before its idle connections are closed.

--- a/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
@@ -253,8 +253,12 @@
         return self.request_complete
 
     async def aclose(self) -> None:
-        """Close immediately, without waiting for the server."""
-        await anyio.aclose_forcefully(self.stream)
+        """Close immediately, without waiting for the server.
+
+        This can't be cancelled: the caller may know the outcome of its request already.
+        """
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
 
     async def __aenter__(self) -> "BackendConnection":
         return self
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -195,8 +195,7 @@
             if reusable:
                 await self.connection_pool.release(address, connection, now_ms())
             else:
-                with anyio.CancelScope(shield=True):
-                    await connection.aclose()
+                await connection.aclose()
 
     def _response_timeout_ms(
         self, exchange: Exchange, slot_pool: SlotPool, connection: BackendConnection
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -309,8 +309,7 @@
                 if deadline_scope.cancelled_caught:
                     cause = "body_without_end"
             finally:
-                with anyio.CancelScope(shield=True):
-                    await response.remainder.aclose()
+                await response.remainder.aclose()
             group.cancel_scope.cancel()
         return cause
 
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -66,8 +66,8 @@
     SERVER_ERROR = "server error"
 
 
-FAILURES_THAT_MAY_HAVE_RUN = frozenset(
-    {AttemptFailure.BROKEN, AttemptFailure.HUNG, AttemptFailure.SERVER_ERROR}
+FAILURES_WITHOUT_RUN = frozenset(
+    {AttemptFailure.NOT_SENT, AttemptFailure.NOT_RUN, AttemptFailure.MISDIRECTED}
 )
 
 
@@ -95,8 +95,9 @@
     """The attempts that were made for one request so far.
 
     ``tried_server_ids`` holds the servers that aren't tried again, and ``server_entries`` the
-    request log's entries of the servers that the request was sent to. ``server_error_response`` is
-    the last server error, which the caller gets if no attempt succeeds.
+    request log's entries of the servers that the request was sent to. ``may_have_run`` is false
+    only while it is certain that no server ran the request. ``server_error_response`` is the last
+    server error, which the caller gets if no attempt succeeds.
     """
 
     def __init__(self) -> None:
@@ -286,7 +287,7 @@
                 exchange, pick_request, pick, dispatch_metadata, connection
             )
             attempts.may_have_run = (
-                may_have_run_before or outcome.failure in FAILURES_THAT_MAY_HAVE_RUN
+                may_have_run_before or outcome.failure not in FAILURES_WITHOUT_RUN
             )
             reusable = outcome.failure in (
                 None,
@@ -303,8 +304,7 @@
             elif reusable:
                 await self.connection_pool.release(address, connection, self.clock.now_ms())
             else:
-                with anyio.CancelScope(shield=True):
-                    await connection.aclose()
+                await connection.aclose()
 
     def _is_still_usable(self, pick: Pick) -> bool:
         """Tell whether the server may still get requests, which can change while connecting."""
@@ -344,9 +344,9 @@
             self._record_broken(pick_request, pick, failure.reason, started_ms)
             return AttemptOutcome(failure=AttemptFailure.BROKEN)
         except TimeoutError:
+            self._record_broken(pick_request, pick, "no response in time", started_ms)
             # The server may have dropped its idle connections too.
             await self.connection_pool.close_idle_to(pick.server.registration.address)
-            self._record_broken(pick_request, pick, "no response in time", started_ms)
             return AttemptOutcome(failure=AttemptFailure.HUNG)
         if connection.reused:
             self.connection_pool.record_live_connection(pick.server.registration.address)
