Bound the bytes of a response that are neither head nor body

Cause: the limit of a head was reset with each read once a head was there, and the fields of a trailer section were kept as headers. Ruled out: the body, which is bounded. Same cause: one trailer value, chunk extensions and the digits of a chunk size without end; a failure of more than the buffer, whose connection stayed open once another server had answered; answers of 1 MiB each without a sum; the body of a refusal in the own interface.

Change: at most 64 KiB that are no body between two parts of a body or after the last one; trailer fields are dropped; unread responses are closed before a retry and when their request ends; a VM buffers 32 MiB of answers, and relays beyond it.

--- a/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
@@ -16,9 +16,12 @@
 CONNECT_TIMEOUT_S = 1.0
 DEADLINE_REASON = "deadline"
 MIN_FINAL_STATUS = 200
-# Longest head of a response, with any informational responses before it. A faulty server may send
-# headers without end.
+# Longest head of a response, with any informational responses before it, and most bytes between two
+# parts of a body or after the last one: chunk extensions and trailer fields. A faulty server may
+# send any of them without end.
 MAX_HEAD_BYTES = 65_536
+# Longest body that is read only to be discarded; a faulty server may send one without end.
+MAX_DISCARDED_BODY_BYTES = 65_536
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -58,6 +61,7 @@
     There may be several: a late response to an earlier request can precede the expected one.
 
     ``expects_no_body`` must be set for a HEAD request, whose response has no body.
+    ``overhead_bytes`` were received since the last part of a body or the end of a response.
     """
 
     def __init__(self) -> None:
@@ -65,7 +69,7 @@
         self.responses: list[PartialResponse] = []
         self.expects_no_body = False
         self.keep_alive = False
-        self.bytes_since_head = 0
+        self.overhead_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; empty bytes mean that the server has closed the connection.
@@ -73,15 +77,13 @@
         :raises BackendConnectionError: when the bytes are no valid response, or it is incomplete.
         """
         if data:
-            self.bytes_since_head += len(data)
+            self.overhead_bytes += len(data)
             try:
                 self.http_parser.feed_data(data)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
                 raise BackendConnectionError("truncated") from error
-            if self.responses and self.responses[-1].head is not None:
-                self.bytes_since_head = 0
-            elif self.bytes_since_head > MAX_HEAD_BYTES:
-                raise BackendConnectionError("head too long")
+            if self.overhead_bytes > MAX_HEAD_BYTES:
+                raise BackendConnectionError("head or trailer too long")
             return
         self.keep_alive = False
         last = self.responses[-1] if self.responses else None
@@ -96,9 +98,11 @@
         self.responses.append(PartialResponse())
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header to the current response."""
-        name = name.lower()
+        """Add a header to the current response; the fields of a trailer section are dropped."""
         response = self.responses[-1]
+        if response.head is not None:
+            return
+        name = name.lower()
         response.headers.append((name, value.strip()))
         response.has_framing |= name in (b"content-length", b"transfer-encoding")
 
@@ -111,6 +115,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a chunk to the current body."""
+        self.overhead_bytes = 0
         self.responses[-1].chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -119,6 +124,7 @@
         if response.head is None:
             self.responses.pop()
             return
+        self.overhead_bytes = 0
         response.complete = True
         self.keep_alive = self.http_parser.should_keep_alive() and not self.expects_no_body
 
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -11,6 +11,7 @@
 
 from berylbankd._internal.backends.connection import (
     DEADLINE_REASON,
+    MAX_DISCARDED_BODY_BYTES,
     BackendConnection,
     BackendConnectionError,
     ResponseHead,
@@ -278,8 +279,7 @@
     ) -> AttemptOutcome:
         slot_pool.health.record_shed(self.coordinator.clock.now_ms())
         try:
-            while await connection.receive_chunk() is not None:
-                pass
+            await connection.discard_body(MAX_DISCARDED_BODY_BYTES)
         except BackendConnectionError:
             await connection.aclose()
         return AttemptOutcome(Refusal(RefusalKind.NO_SLOT), retryable=exchange.body_complete)
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -99,6 +99,8 @@
             await self._serve_exchange(exchange, attempts)
         except Exception as error:  # a fault in the code must not leave the caller without answer
             await self._answer_after_fault(exchange, attempts, error)
+        finally:
+            await self.dispatcher.finish(attempts)
 
     async def run(self) -> None:
         """Start requests that wait for processor time, until cancelled."""
@@ -283,10 +285,12 @@
             await exchange.start_response(result.status, result.headers)
             await exchange.send_chunk(result.body, last=True)
         else:
-            cause = await self._relay_response(exchange, result)
+            cause = await self._relay_response(exchange, result, attempts)
         self._log_request(exchange, attempts, result.status, cause)
 
-    async def _relay_response(self, exchange: CallerExchange, response: BufferedResponse) -> str:
+    async def _relay_response(
+        self, exchange: CallerExchange, response: BufferedResponse, attempts: RequestAttempts
+    ) -> str:
         """Relay a response that is too long to buffer, and return the cause for the request log.
 
         If the backend server's connection fails, or the body has not ended when the caller's
@@ -305,7 +309,7 @@
             group.start_soon(cancel_on_disconnect)
             try:
                 with anyio.move_on_after(remaining_s) as deadline_scope:
-                    cause = await self._relay_chunks(exchange, response)
+                    cause = await self._relay_chunks(exchange, response, attempts)
                 if deadline_scope.cancelled_caught:
                     cause = "body_without_end"
             finally:
@@ -313,10 +317,13 @@
             group.cancel_scope.cancel()
         return cause
 
-    async def _relay_chunks(self, exchange: CallerExchange, response: BufferedResponse) -> str:
+    async def _relay_chunks(
+        self, exchange: CallerExchange, response: BufferedResponse, attempts: RequestAttempts
+    ) -> str:
         assert response.remainder is not None
         await exchange.start_response(response.status, response.headers)
         await exchange.send_chunk(response.body, last=False)
+        self.dispatcher.free_buffer(attempts)
         while True:
             try:
                 chunk = await response.remainder.receive_chunk()
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -15,6 +15,7 @@
 
 from berylbank._internal.utils.clock import Clock
 from berylbankd._internal.backends.connection import (
+    MAX_DISCARDED_BODY_BYTES,
     BackendConnection,
     BackendConnectionError,
     Headers,
@@ -34,6 +35,9 @@
 
 # Longer responses are relayed while they arrive, and can't be replaced by a retry.
 MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
+# While this VM has buffered this much of all responses together, each is relayed from its first
+# chunk on.
+MAX_TOTAL_BUFFERED_BYTES = 33_554_432
 # Connecting takes one round trip; a server that takes longer than this counts as unreachable.
 CONNECT_TIMEOUT_S = 0.5
 # Requests that aren't idempotent reuse only connections that were idle for a short time: if the
@@ -51,8 +55,6 @@
 MIN_SERVER_ERROR_STATUS = 500
 # The attempt fails after this many late responses to earlier requests on the same connection.
 MAX_STALE_RESPONSES = 2
-# Longest body that is read only to be discarded; a faulty server may send one without end.
-MAX_DISCARDED_BODY_BYTES = 65_536
 
 
 class AttemptFailure(Enum):
@@ -97,7 +99,9 @@
     ``tried_server_ids`` holds the servers that aren't tried again, and ``server_entries`` the
     request log's entries of the servers that the request was sent to. ``may_have_run`` is false
     only while it is certain that no server ran the request. ``server_error_response`` is the last
-    server error, which the caller gets if no attempt succeeds.
+    server error, which the caller gets if no attempt succeeds. ``unread_connection`` is the one
+    from which the rest of a long response is still to be received, and ``buffered_bytes`` the size
+    of the responses that are kept in memory.
     """
 
     def __init__(self) -> None:
@@ -106,6 +110,8 @@
         self.may_have_run = False
         self.server_error_response: BufferedResponse | None = None
         self.last_failure: AttemptFailure | None = None
+        self.unread_connection: BackendConnection | None = None
+        self.buffered_bytes = 0
 
 
 class Dispatcher:
@@ -116,6 +122,7 @@
         self.codec = codec
         self.clock = clock
         self.connection_pool = ConnectionPool()
+        self.total_buffered_bytes = 0
 
     async def dispatch(
         self,
@@ -134,8 +141,10 @@
         for attempt in range(max(1, pick_request.route.max_attempts)):
             if not self._is_key_valid(exchange):
                 return self._make_result_after_withdrawal(attempts)
-            if attempt and not self._may_retry(exchange, pick_request, deadline_ms, attempts):
-                break
+            if attempt:
+                if not self._may_retry(exchange, pick_request, deadline_ms, attempts):
+                    break
+                await self._discard_unread_response(attempts)
             pick_request = pick_request._replace(
                 tried=attempts.tried_server_ids, remaining_ms=deadline_ms - self.clock.now_ms()
             )
@@ -156,6 +165,24 @@
             return self._make_result_after_withdrawal(attempts)
         return self._make_final_result(pick_request.service, attempts)
 
+    def free_buffer(self, attempts: RequestAttempts) -> None:
+        """Stop counting the buffered responses of a request, as they have been sent or dropped."""
+        self.total_buffered_bytes -= attempts.buffered_bytes
+        attempts.buffered_bytes = 0
+
+    async def finish(self, attempts: RequestAttempts) -> None:
+        """Free what the attempts of a request still hold when it has been answered or given up."""
+        self.free_buffer(attempts)
+        if attempts.unread_connection is not None:
+            await attempts.unread_connection.aclose()
+
+    async def _discard_unread_response(self, attempts: RequestAttempts) -> None:
+        """Drop a server error that was too long to buffer, before the request is sent again."""
+        if attempts.unread_connection is not None:
+            attempts.server_error_response = None
+            await attempts.unread_connection.aclose()
+            attempts.unread_connection = None
+
     def _is_key_valid(self, exchange: CallerExchange) -> bool:
         """Tell whether the key still belongs to the admitted organisation.
 
@@ -284,7 +311,7 @@
                 deadline_ms=dispatch_metadata.deadline_ms - connect_ms
             )
             outcome = await self._send_and_receive(
-                exchange, pick_request, pick, dispatch_metadata, connection
+                exchange, pick_request, pick, dispatch_metadata, connection, attempts=attempts
             )
             attempts.may_have_run = (
                 may_have_run_before or outcome.failure not in FAILURES_WITHOUT_RUN
@@ -300,7 +327,7 @@
             return outcome
         finally:
             if connection_in_use:
-                pass
+                attempts.unread_connection = connection
             elif reusable:
                 await self.connection_pool.release(address, connection, self.clock.now_ms())
             else:
@@ -323,6 +350,8 @@
         pick: Pick,
         dispatch_metadata: DispatchMetadata,
         connection: BackendConnection,
+        *,
+        attempts: RequestAttempts,
     ) -> AttemptOutcome:
         started_ms = self.clock.now_ms()
         response_timeout_s = self._response_timeout_s(pick_request, dispatch_metadata)
@@ -333,7 +362,7 @@
                 self._apply_response_metadata(pick, connection, response_metadata, started_ms)
                 if response_metadata.not_run:
                     return await self._handle_not_run(pick, connection, response_metadata)
-                response = await self._receive_response(exchange, connection, head)
+                response = await self._receive_response(exchange, connection, head, attempts)
         except BackendConnectionError as failure:
             if failure.reason == "connect" or not connection.request_started:
                 return AttemptOutcome(failure=AttemptFailure.NOT_SENT)
@@ -493,7 +522,11 @@
         )
 
     async def _receive_response(
-        self, exchange: CallerExchange, connection: BackendConnection, head: ResponseHead
+        self,
+        exchange: CallerExchange,
+        connection: BackendConnection,
+        head: ResponseHead,
+        attempts: RequestAttempts,
     ) -> BufferedResponse:
         chunks: list[bytes] = []
         size = 0
@@ -503,6 +536,10 @@
                 return self._make_response(exchange, head, b"".join(chunks))
             chunks.append(chunk)
             size += len(chunk)
+            attempts.buffered_bytes += len(chunk)
+            self.total_buffered_bytes += len(chunk)
+            if self.total_buffered_bytes > MAX_TOTAL_BUFFERED_BYTES:
+                break
         return BufferedResponse(
             head.status,
             self.codec.encode_response(list(head.headers)),
--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -8,6 +8,7 @@
 import struct
 import sys
 import time
+import tracemalloc
 
 import anyio
 from behave import given, then, when
@@ -145,7 +146,45 @@
     await server.send_without_end(stream, "3e8\r\n" + "x" * 1_000 + "\r\n")
 
 
+def fill(text, *, filler, head=OK_HEAD):
+    """Return a script that sends a text and then a filler without end."""
+
+    async def script(server, stream, number, request_id):
+        await server.send(stream, (head + text).format(id=request_id))
+        await server.send_without_end(stream, filler)
+
+    return script
+
+
+async def send_late_responses(server, stream, number, request_id):
+    await server.send_without_end(stream, make_answer("earlier") * 20)
+
+
+async def send_failure_body(server, stream, number, request_id):
+    head = OK_HEAD.replace("200 OK", "500 Failed").format(id=request_id)
+    await server.send(stream, head + "transfer-encoding: chunked\r\n\r\n")
+    await server.send_without_end(stream, "3e8\r\n" + "x" * 1_000 + "\r\n")
+
+
+CHUNKED = "transfer-encoding: chunked\r\n\r\n"
+BEFORE_TRAILER = CHUNKED + "2\r\nok\r\n0\r\n"
+FILLER = "x" * 1_000
 SCRIPTS = {
+    "a status line": fill("HTTP/1.1 200 ", filler=FILLER, head=""),
+    "a header value": fill("x-fill: ", filler=FILLER),
+    "empty lines": fill("", filler="\r\n" * 500, head=""),
+    "trailer fields": fill(BEFORE_TRAILER, filler="a: b\r\n" * 200),
+    "a trailer value": fill(BEFORE_TRAILER + "a: ", filler=FILLER),
+    "the trailer of a refusal": fill(
+        "x-request-id: {id}\r\n" + BEFORE_TRAILER, filler="a: b\r\n" * 200, head=REFUSAL_HEAD
+    ),
+    "a chunk extension": fill(CHUNKED + "2;a=", filler=FILLER),
+    "a chunk size": fill(CHUNKED, filler="0" * 1_000),
+    "the body of a success in large chunks": fill(
+        "transfer-encoding: chunked\r\n\r\n", filler="10000\r\n" + "x" * 65_536 + "\r\n"
+    ),
+    "late responses": send_late_responses,
+    "the body of a failure": send_failure_body,
     "headers": send_headers,
     "informational responses": send_informational,
     "the body of a refusal": send_refusal_body,
@@ -153,12 +192,12 @@
 }
 
 
-def make_scope(request_id, method="POST"):
+def make_scope(request_id, method="POST", deadline_ms=DEADLINE_MS):
     headers = [
         (b"host", b"a.example"),
         (b"x-key", KEY.encode()),
         (b"x-request-id", request_id.encode()),
-        (b"x-deadline-ms", str(DEADLINE_MS).encode()),
+        (b"x-deadline-ms", str(deadline_ms).encode()),
     ]
     return {
         "type": "http",
@@ -184,14 +223,14 @@
     return steering
 
 
-async def call_app(app, request_id):
+async def call_app(app, request_id, method="POST"):
     """Send a request through the application and return the events of its response."""
     events = []
 
     async def send(event):
         events.append(event)
 
-    await app(make_scope(request_id), anyio.sleep_forever, send)
+    await app(make_scope(request_id, method), anyio.sleep_forever, send)
     return events
 
 
@@ -315,6 +354,120 @@
     context.server = ScriptedServer(SCRIPTS[what])
 
 
+SMALL_READ_BYTES = 700
+SOUND_BODY = "o" * 30_000
+SOUND_RESPONSES = {
+    "one-byte chunks": "1\r\no\r\n" * len(SOUND_BODY) + "0\r\n\r\n",
+    "chunk extensions": ("12c;a=" + FILLER + "\r\n" + "o" * 300 + "\r\n") * 100 + "0\r\n\r\n",
+    "trailer fields": f"7530\r\n{SOUND_BODY}\r\n0\r\n" + "a: b\r\n" * 1_000 + "\r\n",
+}
+
+
+@given("a server that sends a success with {what} in small reads")
+def step_small_reads(context, what):
+    async def script(server, stream, _number, request_id):
+        text = OK_HEAD.format(id=request_id) + CHUNKED + SOUND_RESPONSES[what]
+        for start in range(0, len(text), SMALL_READ_BYTES):
+            await server.send(stream, text[start : start + SMALL_READ_BYTES])
+
+    context.server = ScriptedServer(script)
+
+
+@then("the caller gets the whole body")
+def step_whole_body(context):
+    assert context.events[0]["status"] == 200, context.events
+    assert context.events[1]["body"] == SOUND_BODY.encode()
+    assert not context.events[1]["more_body"]
+
+
+@given("a server that sends the body of a failure without end, and a sound one")
+def step_two_servers(context):
+    context.closed = []
+
+    async def script(server, stream, number, request_id):
+        try:
+            await send_failure_body(server, stream, number, request_id)
+        finally:
+            context.closed.append(request_id)
+
+    context.server = ScriptedServer(script)
+    context.sound_server = ScriptedServer(answer)
+
+
+@when("a look-up is sent to the faulty one first")
+def step_look_up(context):
+    async def run():
+        ports = []
+        async with anyio.create_task_group() as group:
+            for server in (context.server, context.sound_server):
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                ports.append(listener.extra(anyio.abc.SocketAttribute.local_port))
+                group.start_soon(listener.serve, server.handle)
+            steering = make_steering(f"127.0.0.1:{ports[0]}", RequestKind.SAFE)
+            route = ROUTE._replace(kind=RequestKind.SAFE, max_attempts=2)
+            steering.routing_state.routes = {ROUTE.host: [route]}
+            pick = steering.pick
+
+            def pick_faulty_first(request, now_ms):
+                if request.tried:
+                    address = f"127.0.0.1:{ports[1]}"
+                    steering.routing_state.apply_row(server_row("s1", 2, address=address), 0)
+                return pick(request, now_ms)
+
+            steering.pick = pick_faulty_first
+            app = make_app(steering, CountingRequestLog())
+            context.events = await call_app(app, "r0", "GET")
+            # The server notices the close with its next write.
+            await anyio.sleep(0.1)
+            context.closed_at_end = list(context.closed)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("the caller gets the response of the sound one, and the faulty one's connection is closed")
+def step_closed(context):
+    assert context.events[0]["status"] == 200, context.events
+    assert context.events[1]["body"] == b"ok", context.events
+    assert context.closed_at_end == ["r0"]
+
+
+@when("{count:d} bookings are sent at once, whose callers do not read")
+def step_many_bookings(context, count):
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        steering = make_steering(f"127.0.0.1:{port}")
+        state = steering.routing_state.servers["s0"]
+        state.registration = state.registration._replace(slots=count)
+        app = make_app(steering, CountingRequestLog())
+
+        async def send(event):
+            if event["type"] == "http.response.body":
+                await anyio.sleep_forever()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, context.server.handle)
+            group.start_soon(app.run)
+            tracemalloc.start()
+            for number in range(count):
+                scope = make_scope(f"r{number}", deadline_ms=60_000)
+                group.start_soon(app, scope, anyio.sleep_forever, send)
+            await anyio.sleep(3)
+            context.kept_bytes = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("the VM kept at most {size:d} MiB of them")
+def step_kept(context, size):
+    # Each connection of the server and of the VM holds a read or a write besides.
+    assert context.server.sent_bytes > size * 1_048_576, context.server.sent_bytes
+    assert context.kept_bytes <= size * 1_048_576, context.kept_bytes
+
+
 @when("a booking is sent on the connection of the first request")
 def step_second_booking(context):
     run_bookings(context, ["first", "second"])
--- a/tests/unit/ingress/faulty_servers.feature
+++ b/tests/unit/ingress/faulty_servers.feature
@@ -15,6 +15,8 @@
     When a booking is sent on a new connection
     Then the caller gets 503 and is told that the booking did not run
 
+  # review/3: fields of a trailer section without end took a VM over its memory in 1.5 s, and all its
+  # requests ended with it.
   Scenario Outline: a server that sends <what> without end does not hold a booking or its memory
     Given a server that sends <what> without end
     When a booking is sent on a new connection
@@ -26,6 +28,37 @@
       | headers                    | 502    |
       | informational responses    | 502    |
       | the body of a refusal      | 502    |
+      | a status line              | 502    |
+      | a header value             | 502    |
+      | empty lines                | 502    |
+      | trailer fields             | 502    |
+      | a trailer value            | 502    |
+      | the trailer of a refusal   | 502    |
+      | a chunk extension          | 502    |
+      | a chunk size               | 502    |
+      | late responses             | 502    |
+
+  Scenario Outline: a success whose <what> follow in small reads is passed on whole
+    Given a server that sends a success with <what> in small reads
+    When a booking is sent on a new connection
+    Then the caller gets the whole body
+
+    Examples:
+      | what               |
+      | one-byte chunks    |
+      | chunk extensions   |
+      | trailer fields     |
+
+  # A failure of more than the buffer was kept open for good once a second server had answered.
+  Scenario: the connection of a failure without end is closed when another server answers
+    Given a server that sends the body of a failure without end, and a sound one
+    When a look-up is sent to the faulty one first
+    Then the caller gets the response of the sound one, and the faulty one's connection is closed
+
+  Scenario: many bodies without end at once stay within the memory of a VM
+    Given a server that sends the body of a success in large chunks without end
+    When 150 bookings are sent at once, whose callers do not read
+    Then the VM kept at most 64 MiB of them
 
   Scenario: the body of a success that never ends is cut at the caller's deadline, and not ended as complete
     Given a server that sends the body of a success without end
