Send a request again only if its whole body is still there

Cause: body_complete says that nothing more will come from the caller; retries and Content-Length took it for "the buffer holds the whole body". Ruled out: a server that reads less than it was sent (the VM sent the short length). Same cause: three conditions of the own interface, and the watch for callers that leave, which never began for a long body.

Change: body_replayable is unset with the first byte that is passed on without being kept. A long body of which nothing beyond the buffer was read may go to another server, which was refused before.

--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -253,7 +253,7 @@
 
     def _may_be_stale_connection(self, exchange: Exchange, connection: BackendConnection) -> bool:
         """Tell whether the cause may be a stale reused connection rather than the server."""
-        return connection.reused and exchange.idempotent and exchange.body_complete
+        return connection.reused and exchange.idempotent and exchange.body_replayable
 
     def _record_shift_sample(
         self, exchange: Exchange, slot_pool: SlotPool, failed: bool, latency_ms: int
@@ -271,7 +271,7 @@
         timed_out = failure.reason == DEADLINE_REASON
         kind = RefusalKind.DEADLINE if timed_out else RefusalKind.BACKEND_FAILED
         ran = Ran.UNKNOWN if connection.request_started else Ran.NO
-        retryable = exchange.idempotent and exchange.body_complete and not timed_out
+        retryable = exchange.idempotent and exchange.body_replayable and not timed_out
         return AttemptOutcome(Refusal(kind, ran), retryable=retryable)
 
     async def _handle_shed(
@@ -282,7 +282,7 @@
             await connection.discard_body(MAX_DISCARDED_BODY_BYTES)
         except BackendConnectionError:
             await connection.aclose()
-        return AttemptOutcome(Refusal(RefusalKind.NO_SLOT), retryable=exchange.body_complete)
+        return AttemptOutcome(Refusal(RefusalKind.NO_SLOT), retryable=exchange.body_replayable)
 
     async def _relay_response(
         self,
@@ -356,6 +356,8 @@
             size += len(chunk)
             if size > MAX_BODY_BYTES:
                 raise RequestBodyError(Refusal(RefusalKind.BODY_TOO_LARGE, Ran.UNKNOWN))
+            if chunk:
+                exchange.body_replayable = False
             yield chunk
 
 
--- a/packages/berylbankd/src/berylbankd/_internal/entry/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/exchange.py
@@ -22,6 +22,10 @@
     ``key_grant`` stays None on an open route. ``tried_backends`` lists the names of the backend
     servers that a connection for the request was obtained to, in order.
 
+    ``body`` is the buffered part of the request body, ``body_complete`` is set once the whole body
+    has been received, and ``body_replayable`` is unset once a part of it was received that is not
+    in the buffer.
+
     ``record_response`` asks to keep the response body for the replay of an idempotent request.
     """
 
@@ -47,6 +51,7 @@
         self.response_body = bytearray()
         self.body = b""
         self.body_complete = not has_body(self.headers)
+        self.body_replayable = True
 
     async def start_response(self, status: int, headers: HeaderList) -> None:
         """Send the status and the headers of the response."""
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -249,8 +249,7 @@
             cancel_scope.cancel()
 
         async with anyio.create_task_group() as group:
-            if exchange.body_complete:
-                group.start_soon(cancel_on_disconnect, group.cancel_scope)
+            group.start_soon(cancel_on_disconnect, group.cancel_scope)
             remaining_s = max(0, deadline_ms - self.clock.now_ms()) / 1000
             with anyio.move_on_after(remaining_s) as deadline_scope:
                 self.deadline_scopes.add(deadline_scope)
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -6,7 +6,6 @@
 that a retry can still replace an incomplete response.
 """
 
-from collections.abc import AsyncIterator
 from enum import Enum
 from typing import NamedTuple
 
@@ -220,7 +219,7 @@
     ) -> bool:
         if attempts.may_have_run and not pick_request.route.kind.idempotent:
             return False
-        if not exchange.body_complete:
+        if not exchange.body_replayable:
             return False
         remaining_ms = deadline_ms - self.clock.now_ms()
         if remaining_ms < pick_request.route.objective_ms * MIN_RETRY_TIME_FRACTION:
@@ -448,7 +447,7 @@
         headers = self.codec.encode_request(exchange.headers, dispatch_metadata)
         body = None
         if exchange.body or not exchange.body_complete:
-            body = _stream_body(exchange)
+            body = exchange.stream_body()
         headers.extend(_body_headers(exchange))
         await connection.send_request(exchange.method, exchange.target, headers, body)
 
@@ -561,7 +560,7 @@
 
 
 def _body_headers(exchange: CallerExchange) -> HeaderList:
-    if exchange.body_complete:
+    if exchange.body_complete and exchange.body_replayable:
         if exchange.body or exchange.method not in (b"GET", b"HEAD", b"OPTIONS"):
             return [(b"content-length", str(len(exchange.body)).encode())]
         return []
@@ -569,10 +568,3 @@
         if name == b"content-length":
             return [(name, value)]
     return [(b"transfer-encoding", b"chunked")]
-
-
-async def _stream_body(exchange: CallerExchange) -> AsyncIterator[bytes]:
-    if exchange.body:
-        yield exchange.body
-    while not exchange.body_complete:
-        yield await exchange.receive_body_chunk()
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
@@ -1,6 +1,6 @@
 """A caller's HTTP request and the response to it."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -10,7 +10,8 @@
 from berylbankd._internal.models.types import Organisation, Route
 from berylbankd._internal.refusals import Refusal
 
-# Request bodies up to about this size are buffered, so that a retry can send them again.
+# Request bodies up to about this size are buffered, so that a retry can send them again. The rest
+# of a longer one is sent as it arrives, and not kept.
 MAX_REPLAYABLE_BODY_BYTES = 262_144
 # Longest wait for the next chunk of a request body.
 BODY_CHUNK_TIMEOUT_S = 5.0
@@ -33,9 +34,11 @@
 class CallerExchange:
     """A caller's request with its body; sends the response.
 
-    ``is_connected`` tells whether the caller is still there. ``body_complete`` is set once the
-    whole body has been received; ``route`` and ``organisation`` are set when the request is
-    admitted. ``response_started`` is set once the status was sent.
+    ``is_connected`` tells whether the caller is still there. ``body`` is the buffered part of the
+    request body, ``body_complete`` is set once the whole body has been received, buffered or not,
+    and ``body_replayable`` is unset once a part of it was received that is not in the buffer.
+    ``route`` and ``organisation`` are set when the request is admitted. ``response_started`` is set
+    once the status was sent.
     """
 
     def __init__(
@@ -58,6 +61,8 @@
         self.body_complete = not any(
             name in (b"content-length", b"transfer-encoding") for name, _ in self.headers
         )
+        self.body_replayable = True
+        self.body_received = anyio.Event()
         self.route: Route | None = None
         self.organisation: Organisation | None = None
         self.close_connection = False
@@ -83,12 +88,29 @@
             event = await self.receive()
         if event["type"] == "http.disconnect":
             raise CallerDisconnectedError
-        self.body_complete = not event.get("more_body", False)
+        if not event.get("more_body", False):
+            self.body_complete = True
+            self.body_received.set()
         chunk: bytes = event.get("body", b"")
         return chunk
 
+    async def stream_body(self) -> AsyncIterator[bytes]:
+        """Yield the buffered part of the body and then the rest, which is not kept.
+
+        It raises the same errors as :meth:`buffer_body`.
+        """
+        if self.body:
+            yield self.body
+        while not self.body_complete:
+            chunk = await self.receive_body_chunk()
+            if chunk:
+                self.body_replayable = False
+            yield chunk
+
     async def wait_for_disconnect(self) -> None:
-        """Wait until the caller closes its connection; the body must have been read whole."""
+        """Wait until the caller closes its connection, once its body has been received."""
+        if not self.body_complete:
+            await self.body_received.wait()
         while True:
             event = await self.receive()
             if event["type"] == "http.disconnect":
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -1,9 +1,12 @@
 """Steps on the dispatcher, with attempts that end with given outcomes."""
 
 import anyio
-from behave import then, when
+from behave import given, then, when
 
+from berylbankd._internal.backends.connection import BackendConnectionError
+from berylbankd._internal.backends.health import BackendHealth
 from berylbankd._internal.entry.dispatch import AttemptOutcome, Dispatcher, RetryBudget
+from berylbankd._internal.entry.exchange import Exchange
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 
 ATTEMPTS = {
@@ -45,3 +48,75 @@
 @then('the refusal has "ran" set to "{ran}"')
 def step_ran(context, ran):
     assert context.refusal.ran.value == ran, context.refusal
+
+
+READ_BYTES = 65_536
+
+
+class AnsweredConnection:
+    """A connection whose request was sent and whose response has no body."""
+
+    request_started = True
+
+    async def discard_body(self, max_bytes):
+        pass
+
+
+class FakeCoordinator:
+    """A coordinator that only has a clock, which is this object too."""
+
+    def __init__(self):
+        self.clock = self
+
+    def now_ms(self):
+        return 0
+
+
+class SentRequest:
+    """A request whose body was buffered and then sent to a server."""
+
+    def __init__(self, size):
+        self.parts = [bytes(min(READ_BYTES, size - start)) for start in range(0, size, READ_BYTES)]
+        self.dispatcher = ScriptedDispatcher([])
+        self.dispatcher.coordinator = FakeCoordinator()
+        headers = [(b"content-length", str(size).encode())]
+        scope = {"method": "PUT", "path": "/x", "raw_path": b"/x", "query_string": b""}
+        self.exchange = Exchange({**scope, "headers": headers}, self.receive, None, 0)
+        anyio.run(self.send)
+
+    async def receive(self):
+        part = self.parts.pop(0)
+        return {"type": "http.request", "body": part, "more_body": bool(self.parts)}
+
+    async def send(self):
+        await self.dispatcher.buffer_body(self.exchange)
+        async for _ in self.dispatcher._stream_body(self.exchange):
+            pass
+
+
+@given("a PUT with a body of {size:d} bytes that was sent to a server")
+def step_sent(context, size):
+    context.request = SentRequest(size)
+
+
+@when("the server refuses it")
+def step_refuses(context):
+    pool = FakeSlotPool("server-0")
+    pool.health = BackendHealth()
+    request = context.request
+    context.outcome = anyio.run(
+        request.dispatcher._handle_shed, request.exchange, pool, AnsweredConnection()
+    )
+
+
+@when("the server closes the connection")
+def step_closes(context):
+    request = context.request
+    context.outcome = request.dispatcher._make_failed_outcome(
+        request.exchange, AnsweredConnection(), BackendConnectionError("closed")
+    )
+
+
+@then("the attempt is {repeated}")
+def step_repeated(context, repeated):
+    assert context.outcome.retryable == (repeated == "repeated"), context.outcome
--- a/tests/unit/entry/dispatch.feature
+++ b/tests/unit/entry/dispatch.feature
@@ -12,3 +12,16 @@
       | shed, unreachable           | no      |
       | shed, failed                | unknown |
       | failed, withdrawn           | unknown |
+
+  # As in review/1: only the buffered part of a long body can be sent again.
+  Scenario Outline: a PUT with <size> bytes whose server <failure> is <repeated>
+    Given a PUT with a body of <size> bytes that was sent to a server
+    When the server <failure>
+    Then the attempt is <repeated>
+
+    Examples:
+      | size   | failure               | repeated     |
+      | 300    | refuses it            | repeated     |
+      | 300    | closes the connection | repeated     |
+      | 200000 | refuses it            | not repeated |
+      | 200000 | closes the connection | not repeated |
