Divide what a fleet may do together by the share of it that VMs hear

Cause: a right of the whole fleet was taken by the VM that ranks first among those that it hears, by each part of a cut fleet; the constant covered one owner more. Ruled out: the bucket's first token and its capacity, which add one and two requests.

Change: Membership.fleet_share, the VMs heard through all that may be running, scales cold servers, limits of servers, rates of organisations and retries. Silent VMs count for two hours in place of 20 s, are introduced to VMs that appear, and their number is recorded in the store for VMs that start behind a cut. An isolated VM uses a quarter of its share until the others have noticed. The second owner of tokens grants half the rate while the first is taken to be live. Only a VM that hears most of the fleet concludes a release; any part may roll it back.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
@@ -2,7 +2,8 @@
 
 When a whole fleet starts for the first time, the first VM creates one row under a common key. The
 conditional write of each other VM fails and returns that row. Later each reader (a VM that reads
-the store directly) has a row of its own, and a VM that starts reads all of them.
+the store directly) has a row of its own, and a VM that starts reads all of them. The rows also hold
+the number of VMs, for a VM that starts while it is cut off from the others.
 """
 
 import ipaddress
@@ -28,6 +29,11 @@
 # How often a VM checks whether it has received digests; if not, it reads the VMs in the store.
 PEER_CHECK_INTERVAL_S = 1.5
 REGISTER_RETRY_DELAY_S = 1.0
+# A reader records the number of VMs again when it has changed by this ratio.
+SIZE_CHANGE_RATIO = 0.1
+# Consecutive reads of the store that must name no other VM before this VM takes itself for the only
+# one; VMs that cannot reach each other have registered as readers by then.
+READS_TO_BE_ALONE = 3
 # Key of the row that the first VM of a new fleet creates.
 FIRST_VM_KEY = "meeting"
 
@@ -35,7 +41,8 @@
 class VmRegistry:
     """Finds other VMs at the start and while none is known, and registers this VM as a reader.
 
-    ``table`` holds one row for each registered VM, whose value is the VM's host.
+    ``table`` holds one row for each registered VM, whose value is the VM's host and the number of
+    VMs at that time.
     """
 
     def __init__(
@@ -45,11 +52,14 @@
         self.membership = membership
         self.table = table
         self.is_reader = is_reader
+        self.reads_without_others = 0
+        self.own_revision = 0
+        self.written_size = 0
 
     async def run(self) -> None:
         """Register this VM, and read the VMs in the store while no digest has arrived."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._register_when_reader)
+            group.start_soon(self._register_while_reader)
             if self.membership.deployment.first_start:
                 await self._claim_first_vm_row()
             else:
@@ -59,29 +69,33 @@
                 if not self.membership.known:
                     await self._discover_vms()
 
-    async def _register_when_reader(self) -> None:
+    async def _register_while_reader(self) -> None:
         # A VM that has just started may be a reader briefly, until it receives the digests of
         # the other readers.
         positive_checks = 0
-        while positive_checks < CONSECUTIVE_READER_CHECKS:
+        while True:
             await anyio.sleep(READER_CHECK_INTERVAL_S)
             positive_checks = positive_checks + 1 if self.is_reader() else 0
-        await self._register()
+            size = len(self.membership.possible_vms())
+            has_changed = abs(size - self.written_size) > SIZE_CHANGE_RATIO * self.written_size
+            if positive_checks >= CONSECUTIVE_READER_CHECKS and has_changed:
+                await self._register(size)
 
-    async def _register(self) -> None:
-        """Write this VM's host to its row, retrying until it is there."""
+    async def _register(self, size: int) -> None:
+        """Write this VM's host and the number of VMs to its row, retrying until it is there."""
         deployment = self.membership.deployment
-        key, value = RowKey(self.table, deployment.vm), deployment.host.encode()
-        expected_revision = 0
+        key, value = RowKey(self.table, deployment.vm), f"{deployment.host} {size}".encode()
         while True:
             try:
-                await self.store.write(key, value, expected_revision)
+                self.own_revision = await self.store.write(key, value, self.own_revision)
+                self.written_size = size
                 return
             except ConditionFailedError as error:
                 # The row was written by an earlier start of this VM, maybe with another host.
-                if error.revision == expected_revision:
+                if error.revision == self.own_revision:
+                    self.written_size = size
                     return
-                expected_revision = error.revision
+                self.own_revision = error.revision
             except StoreError as error:
                 logger.info(
                     "row of this VM could not be written to the store, retrying: {}", error.reason
@@ -114,16 +128,28 @@
                 error.reason,
             )
             return
-        self._add_hosts(snapshot.rows)
+        names_others = self._add_hosts(snapshot.rows)
+        self.reads_without_others = 0 if names_others else self.reads_without_others + 1
+        self.membership.is_alone = self.reads_without_others >= READS_TO_BE_ALONE
 
-    def _add_hosts(self, rows: Iterable[Row]) -> None:
-        for row in rows:
+    def _add_hosts(self, rows: Iterable[Row]) -> bool:
+        """Add the hosts in rows to the membership; return whether there are any but this VM's."""
+        names_others = False
+        for row in sorted(rows, key=lambda row: row.revision):
             if row.value is None:
                 continue
             try:
-                host = str(ipaddress.IPv4Address(row.value.decode()))
+                text, _, size = row.value.decode().partition(" ")
+                host = str(ipaddress.IPv4Address(text))
+                # Rows of earlier versions, and that of the first VM, hold the host alone.
+                self.membership.recorded_size = int(size) if size else self.membership.recorded_size
             except ValueError:
-                logger.warning("row {} of the VMs' table holds no IP address", row.key.key)
+                logger.warning(
+                    "row {} of the VMs' table holds no IP address and number of VMs", row.key.key
+                )
                 continue
             if host != self.membership.host:
+                names_others = True
                 self.membership.hosts.add(host)
+                self.membership.registered_hosts.add(host)
+        return names_others
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/release_driver.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/release_driver.py
@@ -1,6 +1,7 @@
 """Advances releases step by step and writes their states to the store for operators.
 
-Of all VMs, the one that ranks first for a service drives the service's release.
+Of all VMs, the one that ranks first for a service drives the service's release. A part of the fleet
+that is cut off only reports a rollback, as its evidence on a good version is incomplete.
 """
 
 import random
@@ -44,8 +45,11 @@
                 await self._read_states()
                 continue
             for release in releases:
-                if self.steering.is_release_driver(release.order.service):
+                service = release.order.service
+                if self.steering.is_release_driver(service):
                     await self._advance(release)
+                elif release.rolled_back and self.steering.ranks_first_for_release(service):
+                    await self._write_state(release, ReleaseState.ROLLED_BACK)
 
     async def _read_states(self) -> None:
         try:
--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -22,6 +22,7 @@
     RegionSums,
     ReleaseReport,
     RouteEvidence,
+    SilentMember,
     StateDigest,
     TableRows,
     TokenGrant,
@@ -131,6 +132,14 @@
         "releases": [_encode_release(report) for report in digest.releases],
         "hosts": list(digest.hosts),
         "ageMs": digest.age_ms,
+        "silent": [
+            {
+                "failureDomain": silent.member.failure_domain,
+                "member": _encode_member(silent.member),
+                "silentMs": silent.silent_ms,
+            }
+            for silent in digest.silent
+        ],
         **{name: getattr(digest, name) for name in _SAME_NAME_FIELDS},
     }
 
@@ -173,6 +182,10 @@
         releases=tuple(_decode_release(item) for item in digest.releases),
         hosts=tuple(_require_host(host) for host in digest.hosts),
         age_ms=digest.ageMs,
+        silent=tuple(
+            SilentMember(_decode_member(item.member, item.failureDomain), item.silentMs)
+            for item in digest.silent
+        ),
     )
 
 
--- a/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
@@ -41,6 +41,13 @@
   part @14 :UInt16;
   parts @15 :UInt16;
   limits @16 :Amounts;
+  silent @17 :List(SilentMember);
+}
+
+struct SilentMember {
+  failureDomain @0 :Text;
+  member @1 :Member;
+  silentMs @2 :UInt32;
 }
 
 struct DomainMembers {
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -84,6 +84,13 @@
     reading: bool
 
 
+class SilentMember(NamedTuple):
+    """A VM that the sender knows and no longer hears, and for how long."""
+
+    member: Member
+    silent_ms: int
+
+
 class DomainMembers(NamedTuple):
     """All live VMs of a failure domain, as the sender knows them."""
 
@@ -123,7 +130,7 @@
 
     A digest of several VMs is sent in ``parts`` datagrams, each with the amounts of some names;
     releases and ``live_domains`` are in ``part`` 0. Datagrams that only list members have higher
-    numbers.
+    numbers. ``silent`` is only sent to a VM that has just appeared.
     """
 
     scope: DigestScope
@@ -143,6 +150,7 @@
     part: int = 0
     parts: int = 1
     limits: Mapping[int, float] = MappingProxyType({})
+    silent: tuple[SilentMember, ...] = ()
 
 
 class TokenRequest(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -336,7 +336,8 @@
     def make_answers(self, own: OwnState, receiver: str, now_ms: int) -> list[OutgoingDigest]:
         """Return the digests for a VM that was heard for the first time, or after a silence.
 
-        They introduce the VMs of the receiver's failure domain and the collectors of the others.
+        They introduce the VMs of the receiver's failure domain, the collectors of the others, and
+        all VMs that are silent.
         """
         known = self.membership.known.get(receiver)
         if known is None:
@@ -347,10 +348,15 @@
             for name in sorted({item.failure_domain for item in self.membership.live} | {domain})
         ]
         report = self._make_report(own)
-        return [
-            OutgoingDigest(report._replace(domains=(*report.domains, *group)), (known.member.host,))
-            for group in group_lists(lists)
+        answers = [
+            report._replace(domains=(*report.domains, *group)) for group in group_lists(lists)
+        ]
+        silent = self.membership.silent_members(now_ms)
+        answers += [
+            report._replace(silent=tuple(silent[start : start + MAX_MEMBERS_PER_DATAGRAM]))
+            for start in range(0, len(silent), MAX_MEMBERS_PER_DATAGRAM)
         ]
+        return [OutgoingDigest(answer, (known.member.host,)) for answer in answers]
 
     def _members_to_introduce(self, failure_domain: str, receiver_domain: str) -> list[Member]:
         if failure_domain == receiver_domain:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -4,6 +4,10 @@
 live while its own digests arrive here, or while a collector lists it. Collectors are two VMs of
 each failure domain that the domain's other VMs report to; they are chosen by a ranking that needs
 no election, so a wrong view costs messages and never a rule.
+
+What all VMs together may do at most, such as an organisation's rate, is divided by
+:meth:`Membership.fleet_share`: VMs that hear each other use the share of the fleet that they are. A
+silent VM may only be cut off, and then uses its own share, so the others leave that unused.
 """
 
 from collections import Counter
@@ -14,6 +18,7 @@
     DigestScope,
     Member,
     Position,
+    SilentMember,
     StateDigest,
 )
 from berylbankd._internal.steering.hashing import hash_to_fraction
@@ -40,11 +45,20 @@
 SUSPICION_MS = 3_000
 HANDOVER_MS = 1_000
 COLLECTORS_PER_DOMAIN = 2
-# A silent VM still counts in the fleet size for this long, as it may only be partitioned.
+# A silent VM still counts in the fleet size for this long, which decides how digests are sent.
 FLEET_SIZE_TTL_MS = 20_000
-# A VM that has been silent for this long is forgotten. Regions can lose each other for an hour, and
-# VMs that forgot all of the other region would never find them again.
+# A VM that has been silent for this long is forgotten. Regions can lose each other for an hour:
+# until then it may use its share of what all VMs may do together, and VMs that forgot all of the
+# other region would never find them again.
 FORGET_MS = 7_200_000
+# A VM assumes at least this many VMs for DISCOVERY_MS after its start, and until it has heard of
+# others or knows that it is the only one.
+ASSUMED_VMS_AT_START = 12
+DISCOVERY_MS = 1_000
+# A VM that hears nothing at all for this many digest intervals is cut off. The others still use its
+# share until they notice, so that it uses only a part of that at first.
+ISOLATION_INTERVALS = 2.5
+ISOLATED_SHARE = 0.25
 # Peer hosts listed in each VM's digest in a full mesh, so that VMs discover each other through any
 # one of them.
 HOSTS_PER_DIGEST = 8
@@ -93,12 +107,15 @@
     the fleet is small enough for every VM to send its state to all others. ``collectors`` are the
     VMs that this VM's failure domain reports to, the primary one first. ``leaving`` is set while
     this VM is stopping. ``hears_others`` is false while nothing arrives from any of the known VMs,
-    so that this VM's view of the fleet is void. ``reads_store`` is false since ``read_failed_ms``
-    if the store does not answer this VM.
+    so that this VM's view of the fleet is void. ``is_alone`` is set while no other VM is known,
+    here or in the store; ``registered_hosts`` are those of other VMs in the store, and
+    ``recorded_size`` is the number of VMs that was recorded there last, 0 if none was.
+    ``reads_store`` is false since ``read_failed_ms`` if the store does not answer this VM.
     """
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, deployment: Deployment, now_ms: int = 0) -> None:
         self.deployment = deployment
+        self.started_ms = now_ms
         self.vm = deployment.vm
         self.host = deployment.host
         self.known: dict[str, KnownMember] = {}
@@ -116,6 +133,9 @@
         self.leaving = False
         self.received_ms = 0
         self.hears_others = True
+        self.is_alone = False
+        self.registered_hosts: set[str] = set()
+        self.recorded_size = 0
         self.reads_store = True
         self.read_failed_ms = NEVER_MS
 
@@ -138,6 +158,7 @@
         self.sources[digest.vm] = SourcePositions(digest.positions, now_ms)
         if digest.scope is DigestScope.VM:
             self._record_introductions(digest, now_ms)
+            self._record_silent(digest, now_ms)
         else:
             lists = self.lists.setdefault(digest.vm, {})
             for domain in digest.domains:
@@ -205,6 +226,15 @@
                 if heard or has_lost_sight or member.vm not in self.known:
                     self._record_member(member, now_ms, heard=heard)
 
+    def _record_silent(self, digest: StateDigest, now_ms: int) -> None:
+        """Learn VMs that the sender no longer hears and that this VM has never heard of."""
+        for silent in digest.silent:
+            member = silent.member
+            if member.vm != self.vm and member.vm not in self.known:
+                known = self.known[member.vm] = KnownMember(member)
+                known.live_ms = now_ms - silent.silent_ms
+                self.hosts.add(member.host)
+
     def _add_members(self, digest: StateDigest, now_ms: int) -> None:
         """Learn members from a collector whose lists are not used now.
 
@@ -256,6 +286,8 @@
                 del self.known[known.member.vm]
                 self.sources.pop(known.member.vm, None)
                 self.lists.pop(known.member.vm, None)
+        if self.known:
+            self.is_alone = False
         self._update_collectors(now_ms)
 
     def fleet_size(self, now_ms: int) -> int:
@@ -266,6 +298,58 @@
             if now_ms - known.live_ms < FLEET_SIZE_TTL_MS and not known.member.leaving
         )
 
+    def heard_vms(self) -> list[str]:
+        """Return the VMs that this VM hears and that are not stopping, including this one."""
+        return [self.vm, *(member.vm for member in self.live if not member.leaving)]
+
+    def possible_vms(self) -> list[str]:
+        """Return the VMs that may be running, heard or not, including this one."""
+        others = [vm for vm, known in self.known.items() if not known.member.leaving]
+        return [self.vm, *others]
+
+    def possible_vm_count(self, now_ms: int) -> int:
+        """Return the number of VMs that may be running, assumed until the others are known."""
+        count = len(self.possible_vms())
+        if not self._knows_fleet(now_ms):
+            return max(self.recorded_size or ASSUMED_VMS_AT_START, count)
+        known_hosts = {known.member.host for known in self.known.values()}
+        if self.registered_hosts <= known_hosts or now_ms - self.started_ms >= FORGET_MS:
+            return count
+        # A VM that restarts while it is cut off does not know the VMs on the other side.
+        stopped = sum(known.member.leaving for known in self.known.values())
+        return max(self.recorded_size - stopped, count)
+
+    def fleet_share(self, now_ms: int) -> float:
+        """Return the share of the fleet that the VMs are that this VM hears, including this one."""
+        possible = self.possible_vm_count(now_ms)
+        silent_ms = now_ms - self.received_ms - ISOLATION_INTERVALS * self.digest_interval_ms()
+        if not self.known or silent_ms < 0:
+            return len(self.heard_vms()) / possible
+        noticed = silent_ms >= (
+            FULL_MESH_TIMEOUT_MS if self.full_mesh else REMOTE_LISTED_TIMEOUT_MS
+        )
+        return (1.0 if noticed else ISOLATED_SHARE) / possible
+
+    def hears_majority(self, now_ms: int) -> bool:
+        """Tell whether this VM hears most of the fleet; of two halves one counts as most."""
+        heard, possible = self.heard_vms(), self.possible_vms()
+        twice_heard, count = 2 * len(heard), self.possible_vm_count(now_ms)
+        return twice_heard > count or (twice_heard == count and min(possible) in heard)
+
+    def silent_members(self, now_ms: int) -> list[SilentMember]:
+        """Return the known VMs that are silent and may only be cut off."""
+        return [
+            SilentMember(known.member, max(0, now_ms - known.live_ms))
+            for known in self.known.values()
+            if not known.member.leaving and not self.is_live(known, now_ms)
+        ]
+
+    def _knows_fleet(self, now_ms: int) -> bool:
+        elapsed_ms = now_ms - self.started_ms
+        if elapsed_ms < DISCOVERY_MS:
+            return False
+        return bool(self.known) or self.is_alone or elapsed_ms >= FORGET_MS
+
     def digest_interval_ms(self) -> int:
         """Return the interval at which this VM updates its view and sends its digests."""
         return DIGEST_INTERVAL_MS if self.full_mesh else COLLECTED_DIGEST_INTERVAL_MS
@@ -425,11 +509,7 @@
 
     def silent_hosts(self, now_ms: int) -> list[str]:
         """Return the hosts of known VMs that are silent, which may only be partitioned."""
-        return sorted(
-            known.member.host
-            for known in self.known.values()
-            if not known.member.leaving and not self.is_live(known, now_ms)
-        )
+        return sorted(silent.member.host for silent in self.silent_members(now_ms))
 
 
 def rank_collectors(members: Iterable[Member]) -> list[Member]:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/quota_coordinator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/quota_coordinator.py
@@ -15,10 +15,10 @@
 
 
 class FleetView(NamedTuple):
-    """How many VMs are live, how many are known with those that fell silent, and their regions."""
+    """The share of the fleet that a VM hears, how many VMs may be running, and the live regions."""
 
-    live_vms: int
-    known_vms: int
+    share: float
+    possible_vms: int
     regions: int
 
 
@@ -29,10 +29,10 @@
     in the last digest.
     """
 
-    def __init__(self, deployment: Deployment, now_ms: int) -> None:
+    def __init__(self, deployment: Deployment) -> None:
         self.vm = deployment.vm
         self.region = deployment.region
-        self.manager = QuotaManager(deployment.bounds, deployment.region, now_ms)
+        self.manager = QuotaManager(deployment.bounds, deployment.region)
         self.region_capacities: Mapping[str, float] = {deployment.vm: deployment.capacity}
         self.owners_by_organisation: dict[str, list[str]] = {}
         self.advertised_demand: dict[str, float] = {}
@@ -64,7 +64,9 @@
         )
         if organisation is None:
             return TokenGrant(request.number, 0, known=False)
-        return TokenGrant(request.number, self.manager.grant(organisation, request, now_ms))
+        is_owner = self.owners(organisation.name)[:1] == [self.vm]
+        granted = self.manager.grant(organisation, request, now_ms, is_owner=is_owner)
+        return TokenGrant(request.number, granted)
 
     def update(
         self,
@@ -91,9 +93,7 @@
             if own > 0:
                 demands[self.region] = own
             reported_demand[name] = demands
-        self.manager.update_fleet(
-            reported_demand, fleet.regions, fleet.live_vms, fleet.known_vms, now_ms
-        )
+        self.manager.update_fleet(reported_demand, fleet.regions, fleet.share, fleet.possible_vms)
         self.manager.update_owned(owned, now_ms)
         # The other VMs know the demand sent in the previous digest, so this VM uses that too.
         self.advertised_demand = self.manager.demands(now_ms)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/quotas.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/quotas.py
@@ -13,6 +13,7 @@
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.types import Organisation
 from berylbankd._internal.peers.messages import TokenRequest
+from berylbankd._internal.steering.membership import ASSUMED_VMS_AT_START
 from berylbankd._internal.steering.placement import compute_weighted_rank
 
 # Time constant of the exponentially decaying mean of demand.
@@ -22,9 +23,6 @@
 # Share of the permitted excess (``Bounds.quota_overage`` and ``quota_slack``) that is granted. The
 # rest covers regional shares that change while messages are in transit, and changes of owner.
 GRANTED_EXCESS_SHARE = 0.4
-# A VM assumes at least this many VMs for DISCOVERY_MS after its start, until it knows the others.
-ASSUMED_VMS_AT_START = 12
-DISCOVERY_MS = 1_000
 # A new owner starts with the tokens of this time: the previous owner may have granted the burst.
 INITIAL_TOKENS_MS = 600
 # A VM prefetches the tokens that it needs for this long, and discards those unused after the TTL.
@@ -34,8 +32,10 @@
 PREFETCH_MIN_FILL_RATIO = 0.5
 # A VM that no longer owns an organisation deletes its bucket after this long without a request.
 UNUSED_BUCKET_TTL_MS = 10_000
-# VMs that are asked for an organisation's tokens, in order of their rank.
+# VMs that are asked for the tokens of an organisation, in order of rank. The second one grants only
+# a share of the rate while it takes the owner to be live: the owner may only be cut off.
 OWNERS_PER_ORGANISATION = 2
+SUBSTITUTE_SHARE = 0.5
 
 
 def rank_owners(organisation: str, capacities: Mapping[str, float]) -> list[str]:
@@ -133,12 +133,11 @@
 class QuotaManager:
     """The quotas of all organisations on one VM, both as a client and as an owner of buckets."""
 
-    def __init__(self, bounds: Bounds, region: str, now_ms: int) -> None:
+    def __init__(self, bounds: Bounds, region: str) -> None:
         self.bounds = bounds
         self.region = region
-        self.started_ms = now_ms
-        self.live_vms = 1
-        self.known_vms = ASSUMED_VMS_AT_START
+        self.fleet_share = 1 / ASSUMED_VMS_AT_START
+        self.possible_vms = ASSUMED_VMS_AT_START
         self.region_count = 1
         self.buckets: dict[str, RegionalBucket] = {}
         self.local_tokens: dict[str, LocalTokens] = {}
@@ -174,14 +173,22 @@
 
     def take_fallback(self, organisation: Organisation, now_ms: int) -> bool:
         """Spend a token of this VM's equal part of the rate, while no owner answers."""
-        per_s = organisation.rate_per_s / self.known_vms
+        per_s = organisation.rate_per_s * min(self.fleet_share, 1 / self.possible_vms)
         return self._local_tokens(organisation.name, now_ms).take_fallback(per_s, now_ms)
 
     # Owner side
 
-    def grant(self, organisation: Organisation, request: TokenRequest, now_ms: int) -> int:
+    def grant(
+        self,
+        organisation: Organisation,
+        request: TokenRequest,
+        now_ms: int,
+        *,
+        is_owner: bool = True,
+    ) -> int:
         """Return the number of tokens granted to a VM of the region."""
-        return self._bucket(organisation, now_ms).take(request, now_ms)
+        share = 1.0 if is_owner else SUBSTITUTE_SHARE
+        return self._bucket(organisation, now_ms, share).take(request, now_ms)
 
     def update_owned(self, organisations: Iterable[Organisation], now_ms: int) -> None:
         """Create or update the buckets that this VM owns; delete unowned ones no longer in use."""
@@ -201,20 +208,19 @@
         self,
         reported_demand: Mapping[str, Mapping[str, float]],
         region_count: int,
-        live_vms: int,
-        known_vms: int,
-        now_ms: int,
+        fleet_share: float,
+        possible_vms: int,
     ) -> None:
         """Store the demand by organisation and region that VMs have reported, and the fleet size.
 
-        ``known_vms`` includes VMs that fell silent: they may only be partitioned and still admit
-        requests, so their share of every rate is left unused.
+        ``fleet_share`` is that of the VMs that this one hears, and ``possible_vms`` includes VMs
+        that fell silent: they may only be partitioned and still admit requests, so their share of
+        every rate is left unused.
         """
-        discovered = now_ms - self.started_ms >= DISCOVERY_MS
         self.reported_demand = reported_demand
         self.region_count = max(1, region_count)
-        self.live_vms = live_vms
-        self.known_vms = known_vms if discovered else max(ASSUMED_VMS_AT_START, known_vms)
+        self.fleet_share = min(1.0, fleet_share)
+        self.possible_vms = possible_vms
 
     def regional_share(self, name: str) -> float:
         """Return this region's share of an organisation's rate."""
@@ -222,13 +228,15 @@
         own_demand, total_demand = demands.get(self.region, 0.0), sum(demands.values())
         share_by_demand = own_demand / total_demand if total_demand > 0 else 1 / self.region_count
         share = EVENLY_SPLIT_SHARE / self.region_count + (1 - EVENLY_SPLIT_SHARE) * share_by_demand
-        return min(1.0, self.live_vms / self.known_vms) * share
+        return self.fleet_share * share
 
     # Helpers
 
-    def _bucket(self, organisation: Organisation, now_ms: int) -> RegionalBucket:
+    def _bucket(
+        self, organisation: Organisation, now_ms: int, share_of_region: float = 1.0
+    ) -> RegionalBucket:
         """Return an organisation's bucket, updated to the current rate and regional share."""
-        share = self.regional_share(organisation.name)
+        share = share_of_region * self.regional_share(organisation.name)
         rate = organisation.rate_per_s * share
         capacity = organisation.burst * share + self._excess_allowance(organisation, share)
         bucket = self.buckets.get(organisation.name)
@@ -245,7 +253,7 @@
         """Return this region's share of the excess over rate and burst that the bounds permit."""
         window_s = self.bounds.quota_window_ms / 1000
         regular = organisation.rate_per_s * window_s + organisation.burst
-        even_share = min(1.0, self.live_vms / self.known_vms) / self.region_count
+        even_share = self.fleet_share / self.region_count
         excess = self.bounds.quota_overage * regular * share + self.bounds.quota_slack * even_share
         return GRANTED_EXCESS_SHARE * excess
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/server_limits.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/server_limits.py
@@ -4,7 +4,9 @@
 VMs may want to send to it, and some of them start, restart or fall silent meanwhile. A few VMs, the
 holders, are therefore chosen by a ranking that is the same on all VMs, and each gets an equal part;
 the others send nothing. A VM that does not hear of another one replaces it by a single further
-holder, so that the parts of both stay within what the server tolerates.
+holder, so that the parts of both stay within what the server tolerates. During a network partition
+each part of the fleet has holders, which use the share of the limit that their part is of the
+fleet.
 
 VMs tell each other which limits they saw in responses, as those that send nothing see none.
 """
@@ -48,6 +50,7 @@
         self.tokens: float | None = None
         self.refilled_ms = now_ms
         self.vms: Collection[str] = ()
+        self.fleet_share = 1.0
         self.holders: set[str] = set()
 
     def observe(self, rate_per_s: float, now_ms: int) -> None:
@@ -67,21 +70,24 @@
             self.rate_per_s = rate_per_s
             self.vms = ()
 
-    def take(self, server_id: str, vm: str, vms: Collection[str], now_ms: int) -> bool:
+    def take(
+        self, server_id: str, vm: str, vms: Collection[str], fleet_share: float, now_ms: int
+    ) -> bool:
         """Spend a token if this VM is a holder and has one.
 
-        ``vms`` are the VMs among which the limit is divided.
+        ``vms`` are the VMs among which the ``fleet_share`` of the limit is divided.
         """
-        if vms != self.vms:
-            self.vms, self.holders = vms, choose_holders(server_id, vms, self.rate_per_s)
+        if vms != self.vms or fleet_share != self.fleet_share:
+            self.vms, self.fleet_share = vms, fleet_share
+            self.holders = choose_holders(server_id, vms, self.rate_per_s * fleet_share)
         if vm not in self.holders:
             self.tokens = None
             return False
         if self.tokens is None:
             is_new = now_ms - self.learned_ms < HANDOVER_MS
-            self.tokens = 1.0 if is_new else 0.0
+            self.tokens = fleet_share if is_new else 0.0
             self.refilled_ms = now_ms if is_new else now_ms + HANDOVER_MS
-        rate_per_s = self.rate_per_s * USED_LIMIT_SHARE / len(self.holders)
+        rate_per_s = self.rate_per_s * fleet_share * USED_LIMIT_SHARE / len(self.holders)
         if now_ms > self.refilled_ms:
             earned = rate_per_s * (now_ms - self.refilled_ms) / 1000
             self.tokens = min(max(1.0, rate_per_s * BUCKET_CAPACITY_S), self.tokens + earned)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -60,7 +60,9 @@
     them that a release uses; it is cleared when ``grouped_generation`` is no longer the generation
     of the routing state. ``arrivals`` counts requests by service since the last slow tick, and
     ``demands`` is a moving average of the slots that they use.
-    ``service_credits`` holds for each route the credit of its weighted services.
+    ``service_credits`` holds for each route the credit of its weighted services. ``fleet_share`` is
+    that of :meth:`Membership.fleet_share`, ``possible_vms`` the number of VMs that may be running,
+    and ``hears_majority`` tells whether this VM hears most of them, all as of the last tick.
     """
 
     def __init__(
@@ -70,9 +72,9 @@
         self.row_codec = row_codec
         self.incarnation = incarnation
         self.routing_state = RoutingState(row_codec)
-        self.membership = Membership(deployment)
+        self.membership = Membership(deployment, now_ms)
         self.digest_exchange = DigestExchange(deployment, self.membership, incarnation)
-        self.quotas = QuotaCoordinator(deployment, now_ms)
+        self.quotas = QuotaCoordinator(deployment)
         self.region_planner = RegionPlanner(deployment)
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.domain_reachability = DomainReachability()
@@ -93,6 +95,9 @@
         self.hashed_generation = -1
         self.servers_with_peer_load: set[str] = set()
         self.slow_tick_elapsed_ms = SLOW_TICK_INTERVAL_MS
+        self.fleet_share = self.membership.fleet_share(now_ms)
+        self.possible_vms = self.membership.possible_vm_count(now_ms)
+        self.hears_majority = False
         self.leaving = False
 
     # Requests
@@ -123,7 +128,7 @@
     def record_arrival(self, service: str) -> None:
         """Count a request for a service."""
         self.arrivals[service] += 1
-        self.retry_budget(service).record_request(len(self.membership.live) + 1)
+        self.retry_budget(service).record_request(self.possible_vms)
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service on this VM."""
@@ -303,6 +308,9 @@
         """Update peer load, quotas and releases, and less often demands and region splits."""
         self.membership.leaving = self.leaving
         self.membership.update(now_ms)
+        self.fleet_share = self.membership.fleet_share(now_ms)
+        self.possible_vms = self.membership.possible_vm_count(now_ms)
+        self.hears_majority = self.membership.hears_majority(now_ms)
         self.peer_sums = self.digest_exchange.sums_of_others(now_ms)
         self.ready_vms_by_region = self._group_ready_vms()
         self.quotas.set_region_vms(self._find_region_capacities())
@@ -356,7 +364,15 @@
         return [report] if report is not None else []
 
     def is_release_driver(self, service: str) -> bool:
-        """Tell whether this VM advances a service's release and writes its status."""
+        """Tell whether this VM advances a service's release and concludes it for all VMs.
+
+        That needs a view of most of the fleet: the others may still use the old version, or have
+        evidence against the new one.
+        """
+        return self.hears_majority and self.ranks_first_for_release(service)
+
+    def ranks_first_for_release(self, service: str) -> bool:
+        """Tell whether this VM acts on a release for the VMs that it hears."""
         names = [
             member.vm for member in self.membership.live if member.reading and not member.leaving
         ]
@@ -436,12 +452,19 @@
         def admit(state: ServerState) -> bool:
             if state.is_cold(now_ms) and not self._admit_cold(state, now_ms):
                 return False
-            return state.limit is None or state.limit.take(
-                state.registration.id, self.deployment.vm, self._vms_near(state), now_ms
-            )
+            return self._admit_limited(state, now_ms)
 
         return admit
 
+    def _admit_limited(self, state: ServerState, now_ms: int) -> bool:
+        return state.limit is None or state.limit.take(
+            state.registration.id,
+            self.deployment.vm,
+            self._vms_near(state),
+            self.fleet_share,
+            now_ms,
+        )
+
     def _admit_cold(self, state: ServerState, now_ms: int) -> bool:
         configuration = self.routing_state.configuration
         service = configuration.services.get(state.registration.service) if configuration else None
@@ -452,7 +475,7 @@
         bucket = self.cold_server_buckets.get(state.registration.id)
         if bucket is None:
             bucket = self.cold_server_buckets[state.registration.id] = ColdServerBucket(now_ms)
-        return bucket.take(service.warmup_per_s, now_ms)
+        return bucket.take(service.warmup_per_s, self.fleet_share, now_ms)
 
     def _vms_near(self, state: ServerState) -> list[str]:
         """Return the ready VMs of a server's region, or all ready VMs if there is none."""
@@ -515,8 +538,8 @@
 
     def _update_quotas(self, now_ms: int) -> None:
         fleet = FleetView(
-            len(self.membership.live) + 1 - sum(item.leaving for item in self.membership.live),
-            self.membership.fleet_size(now_ms),
+            self.fleet_share,
+            self.possible_vms,
             len({self.deployment.region, *map(self._region_of, self.membership.live)}),
         )
         self.quotas.update(
--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -652,7 +652,7 @@
     split.update(loads, 0)
     split.update({**loads, "two": RegionLoad(amounts[6], 0)}, 250)
     assert all(math.isfinite(part) for part in split.local.fractions.values())
-    assert isinstance(ColdServerBucket(0).take(amounts[7], 100), bool)
+    assert isinstance(ColdServerBucket(0).take(amounts[7], 1.0, 100), bool)
 
 
 # Background tasks and the log
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from steering_fleet import free_port
 
+from berylbankd._internal.feeds import registry as registry_module
 from berylbankd._internal.feeds.registry import VmRegistry
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.rows import (
@@ -42,6 +43,7 @@
     TokenRequest,
 )
 from berylbankd._internal.peers.transport import PeerTransport
+from berylbankd._internal.steering.digest_exchange import DigestExchange, OwnState
 from berylbankd._internal.steering.membership import Membership, rank_readers
 from berylbankd._internal.steering.picks import Pick, PickRequest
 from berylbankd._internal.steering.placement import (
@@ -431,7 +433,7 @@
 def set_up_quota_vms(context, vms, rate, burst):
     context.organisation = Organisation("alder", (), 0, rate, burst, frozenset())
     context.vms = vms
-    context.managers = [make_quota_manager(index, 0) for index in range(vms)]
+    context.managers = [make_quota_manager(index) for index in range(vms)]
     context.reachable_vms = [list(range(vms)) for _ in range(vms)]
     context.running = list(range(vms))
     context.admitted = []
@@ -443,8 +445,8 @@
     return f"r{index % 3}"
 
 
-def make_quota_manager(index, now_ms):
-    return QuotaManager(Bounds(), get_region(index), now_ms)
+def make_quota_manager(index):
+    return QuotaManager(Bounds(), get_region(index))
 
 
 def find_owners(context, index):
@@ -470,7 +472,7 @@
             amount = context.sent_demands[other].get("alder", 0.0)
             reported[get_region(other)] = max(amount, reported.get(get_region(other), 0.0))
         live_vms = len(context.reachable_vms[index])
-        manager.update_fleet({"alder": reported}, 3, live_vms, context.vms, now_ms)
+        manager.update_fleet({"alder": reported}, 3, live_vms / context.vms, context.vms)
         owned = [context.organisation] if find_owners(context, index)[0] == index else []
         manager.update_owned(owned, now_ms)
     context.sent_demands = sent_demands
@@ -533,7 +535,7 @@
 
 
 def restart_all(context, now_ms):
-    context.managers = [make_quota_manager(index, now_ms) for index in range(12)]
+    context.managers = [make_quota_manager(index) for index in range(12)]
 
 
 def kill_half(context, _now_ms):
@@ -634,6 +636,10 @@
     assert decode_datagram(encode_datagram(DATAGRAMS[kind])) == DATAGRAMS[kind]
 
 
+# Seconds of real time for one second of a test.
+TIME_SCALE = 0.05
+
+
 class VmTable:
     """An in-memory table of VMs with conditional writes, in place of the store."""
 
@@ -684,6 +690,99 @@
     anyio.run(start_all)
 
 
+@given("a table of VMs with the rows {rows}")
+def step_rows(context, rows):
+    context.vm_table = VmTable()
+    for number, text in enumerate(rows.split(", ")):
+        anyio.run(context.vm_table.write, RowKey("vms", f"reader-{number}"), text.encode(), 0)
+
+
+@when("1 VM starts again and hears no other VM for {seconds:d} s")
+def step_hears_none(context, seconds):
+    membership = Membership(make_deployment("vm-0"))
+    context.started = [membership]
+
+    async def run_registry():
+        registry = VmRegistry(context.vm_table, membership, "vms", lambda: False)
+        with anyio.move_on_after(seconds * TIME_SCALE):
+            await registry.run()
+
+    interval_s = registry_module.PEER_CHECK_INTERVAL_S
+    registry_module.PEER_CHECK_INTERVAL_S = interval_s * TIME_SCALE
+    try:
+        anyio.run(run_registry)
+    finally:
+        registry_module.PEER_CHECK_INTERVAL_S = interval_s
+    membership.update(seconds * 1000)
+    context.now_ms = seconds * 1000
+
+
+@then("it uses 1 of {size:d} parts of what all VMs may do together")
+def step_part(context, size):
+    assert context.started[0].fleet_share(context.now_ms) == 1 / size
+
+
+@when("a reader that hears {first:d} VMs later hears {later:d}")
+def step_reader_hears(context, first, later):
+    membership = Membership(make_deployment("vm-0"))
+    context.values = []
+
+    async def run_registry():
+        registry = VmRegistry(context.vm_table, membership, "vms", lambda: True)
+        async with anyio.create_task_group() as group:
+            group.start_soon(registry._register_while_reader)
+            for count in (first, later):
+                for number in range(1, count + 1):
+                    membership.record_digest(make_digest(number, sequence=count), 0)
+                await anyio.sleep(3)
+                (row,) = context.vm_table.rows.values()
+                context.values.append(row.value)
+            group.cancel_scope.cancel()
+
+    anyio.run(run_registry)
+
+
+@then(
+    "the table holds its host with {first:d} and then {later:d} VMs, and no call was made without "
+    "a change"
+)
+def step_recorded(context, first, later):
+    assert context.values == [f"10.0.0.0 {count}".encode() for count in (first, later)]
+    assert context.vm_table.calls == 2
+
+
+@given("a VM that has not heard {silent:d} of {count:d} others for {seconds:d} s")
+def step_partly_silent(context, silent, count, seconds):
+    membership = Membership(make_deployment("vm-0"))
+    for number in range(1, count + 1):
+        membership.record_digest(make_digest(number, sequence=1), 0)
+    context.now_ms = seconds * 1000
+    for number in range(silent + 1, count + 1):
+        membership.record_digest(make_digest(number, sequence=2), context.now_ms)
+    membership.update(context.now_ms)
+    context.exchange = DigestExchange(make_deployment("vm-0"), membership, 1)
+    context.silent = {f"vm-{number}" for number in range(1, silent + 1)}
+
+
+@when("another VM appears")
+def step_appears(context):
+    now_ms = context.now_ms
+    assert context.exchange.receive(make_digest(20, sequence=1), now_ms)
+    context.newcomer = Membership(make_deployment("vm-20"), now_ms)
+    own = OwnState(True, False, True, {}, {}, {}, {}, ())
+    for answer, _ in context.exchange.make_answers(own, "vm-20", now_ms):
+        digest = decode_datagram(encode_datagram(answer))
+        context.newcomer.record_digest(digest, now_ms)
+
+
+@then("the other VM knows that there may be {count:d} VMs, and takes the silent ones for silent")
+def step_newcomer(context, count):
+    later_ms = context.now_ms + 1_000
+    context.newcomer.update(later_ms)
+    assert context.newcomer.possible_vm_count(later_ms) == count
+    assert not context.silent & set(context.newcomer.heard_vms())
+
+
 @when("{count:d} VMs start for the first time")
 def step_first_start(context, count):
     start_registries(context, count, True)
@@ -781,7 +880,9 @@
             FAULTS[fault](context, now_ms)
         for vm in context.running:
             names = [f"vm-{n}" for n in context.reachable_vms[vm]]
-            if find_owner("s0", names) == f"vm-{vm}" and buckets[vm].take(context.rate, now_ms):
+            if find_owner("s0", names) == f"vm-{vm}" and buckets[vm].take(
+                context.rate, len(names) / 12, now_ms
+            ):
                 context.sent.append(now_ms)
 
 
--- a/tests/support/digest_fleet.py
+++ b/tests/support/digest_fleet.py
@@ -38,6 +38,7 @@
         self.other_loads = {}
         self.leaving = False
         self.release = None
+        self.started_ms = 0
         self.restart(incarnation)
 
     def restart(self, incarnation):
@@ -59,11 +60,13 @@
 class DigestFleet:
     """VMs that send each other digests over links that delay, lose or block datagrams."""
 
+    vm_class = SimulatedVm
+
     def __init__(self, vms, domains, *, encode=False):
         self.rng = random.Random(SEED)
         self.now_ms = 0
         self.encode = encode
-        self.vms = [SimulatedVm(n, domains, 1) for n in range(vms)]
+        self.vms = [self.vm_class(n, domains, 1) for n in range(vms)]
         self.by_host = {vm.host: vm for vm in self.vms}
         self.in_transit = []
         self.order = itertools.count()
--- a/tests/support/limit_fleet.py
+++ b/tests/support/limit_fleet.py
@@ -72,6 +72,7 @@
         near = [name for name in live if self.by_name[name].region == SERVER_REGION]
         if vm.region == SERVER_REGION and not vm.leaving:
             near.append(vm.name)
+        vm.fleet_share = vm.membership.fleet_share(self.now_ms)
         vm.near = sorted(near) or sorted([*live, vm.name])
         for rate_per_s in vm.exchange.sums_of_others(self.now_ms).limits.values():
             vm.state.learn_limit(rate_per_s, self.now_ms)
@@ -95,7 +96,7 @@
             # Without a limit the server's slots bound the rate; four requests a second of each VM.
             if self.now_ms % 250 >= TIME_STEP_MS:
                 return
-        elif not limit.take(SERVER_ID, vm.name, vm.near, self.now_ms):
+        elif not limit.take(SERVER_ID, vm.name, vm.near, vm.fleet_share, self.now_ms):
             return
         self.arrivals.append((self.now_ms, vm.name))
         self.in_service.append((self.now_ms + SERVICE_MS, vm, vm.incarnation, self.now_ms))
--- a/tests/unit/steering/membership.feature
+++ b/tests/unit/steering/membership.feature
@@ -47,6 +47,31 @@
     When 1 VM starts again
     Then it knows the 2 readers, after one call
 
+  # A VM that restarts while it is cut off would take itself for the whole fleet.
+  Scenario Outline: a VM that hears no other knows the size of the fleet from the store <case>
+    Given a table of VMs with the rows <rows>
+    When 1 VM starts again and hears no other VM for <seconds> s
+    Then it uses 1 of <size> parts of what all VMs may do together
+
+    Examples:
+      | case                       | rows                     | seconds | size |
+      | as recorded                | 10.1.0.1 24              | 6       | 24   |
+      | as recorded last           | 10.1.0.1 24, 10.1.0.2 48 | 6       | 48   |
+      | of an earlier version      | 10.1.0.1                 | 6       | 12   |
+      | with a broken row          | 10.1.0.1 24, 10.1.0.2 x  | 6       | 24   |
+      | where it is the only one   | 10.0.0.0 1               | 6       | 1    |
+      | where it is not sure yet   | 10.0.0.0                 | 1       | 12   |
+
+  Scenario: a reader records how many VMs there are, and again when that has changed
+    Given an empty table of VMs
+    When a reader that hears 9 VMs later hears 12
+    Then the table holds its host with 10 and then 13 VMs, and no call was made without a change
+
+  Scenario: VMs that are silent are introduced to one that has just appeared
+    Given a VM that has not heard 3 of 9 others for 60 s
+    When another VM appears
+    Then the other VM knows that there may be 11 VMs, and takes the silent ones for silent
+
   Scenario: all of many simultaneous token requests are answered
     When a VM sends another VM 40 token requests and digests at once
     Then all 40 are answered
