Don't record a VM that is cut off as the whole fleet, nor take one lost digest for a cut

A reader that restarted while it heard no other VM wrote itself to the store as a fleet of one, and the next one that restarted so would have used all of each rate. Beyond a full mesh, a digest with many amounts comes every second or more, so that one lost datagram made a VM use a quarter of its share.

Change: a reader records the size that it knows, or none; isolation is judged by the mean interval of digests.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
@@ -42,7 +42,7 @@
     """Finds other VMs at the start and while none is known, and registers this VM as a reader.
 
     ``table`` holds one row for each registered VM, whose value is the VM's host and the number of
-    VMs at that time.
+    VMs at that time, if it was known.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         self.is_reader = is_reader
         self.reads_without_others = 0
         self.own_revision = 0
-        self.written_size = 0
+        self.written_size: int | None = None
 
     async def run(self) -> None:
         """Register this VM, and read the VMs in the store while no digest has arrived."""
@@ -76,15 +76,20 @@
         while True:
             await anyio.sleep(READER_CHECK_INTERVAL_S)
             positive_checks = positive_checks + 1 if self.is_reader() else 0
-            size = len(self.membership.possible_vms())
-            has_changed = abs(size - self.written_size) > SIZE_CHANGE_RATIO * self.written_size
-            if positive_checks >= CONSECUTIVE_READER_CHECKS and has_changed:
+            size = self.membership.estimate_size()
+            if positive_checks >= CONSECUTIVE_READER_CHECKS and self._must_write(size):
                 await self._register(size)
 
+    def _must_write(self, size: int) -> bool:
+        if self.written_size is None:
+            return True
+        return abs(size - self.written_size) > SIZE_CHANGE_RATIO * self.written_size
+
     async def _register(self, size: int) -> None:
         """Write this VM's host and the number of VMs to its row, retrying until it is there."""
         deployment = self.membership.deployment
-        key, value = RowKey(self.table, deployment.vm), f"{deployment.host} {size}".encode()
+        key = RowKey(self.table, deployment.vm)
+        value = (f"{deployment.host} {size}" if size else deployment.host).encode()
         while True:
             try:
                 self.own_revision = await self.store.write(key, value, self.own_revision)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -55,10 +55,13 @@
 # others or knows that it is the only one.
 ASSUMED_VMS_AT_START = 12
 DISCOVERY_MS = 1_000
-# A VM that hears nothing at all for this many digest intervals is cut off. The others still use its
-# share until they notice, so that it uses only a part of that at first.
+# A VM that hears nothing at all for this many times the usual interval is cut off. The others still
+# use its share until they notice, so that it uses only a part of that at first.
 ISOLATION_INTERVALS = 2.5
 ISOLATED_SHARE = 0.25
+# Weight of the latest interval in the mean; shorter ones are between datagrams of one digest.
+INTERVAL_WEIGHT = 0.2
+MIN_INTERVAL_MS = 50
 # Peer hosts listed in each VM's digest in a full mesh, so that VMs discover each other through any
 # one of them.
 HOSTS_PER_DIGEST = 8
@@ -131,7 +134,8 @@
         self.primary_heard_ms = 0
         self.collecting_since_ms: int | None = None
         self.leaving = False
-        self.received_ms = 0
+        self.received_ms = now_ms
+        self.mean_interval_ms = 0.0
         self.hears_others = True
         self.is_alone = False
         self.registered_hosts: set[str] = set()
@@ -154,6 +158,7 @@
             or known.member.incarnation != digest.incarnation
             or not self.is_live(known, now_ms)
         )
+        self._record_interval(now_ms - self.received_ms)
         self.received_ms = now_ms
         self.sources[digest.vm] = SourcePositions(digest.positions, now_ms)
         if digest.scope is DigestScope.VM:
@@ -177,6 +182,10 @@
         self.hosts.discard(self.host)
         return has_appeared
 
+    def _record_interval(self, interval_ms: int) -> None:
+        if MIN_INTERVAL_MS <= interval_ms < REMOTE_LISTED_TIMEOUT_MS:
+            self.mean_interval_ms += INTERVAL_WEIGHT * (interval_ms - self.mean_interval_ms)
+
     def is_newer(self, digest: StateDigest, now_ms: int) -> bool:
         """Tell whether a digest is no older than what is known of its sender.
 
@@ -312,23 +321,32 @@
         count = len(self.possible_vms())
         if not self._knows_fleet(now_ms):
             return max(self.recorded_size or ASSUMED_VMS_AT_START, count)
+        return count if now_ms - self.started_ms >= FORGET_MS else self.estimate_size()
+
+    def estimate_size(self) -> int:
+        """Return the number of VMs by what is known here and in the store, 0 if nothing is known.
+
+        A VM that restarts while it is cut off does not know the VMs on the other side.
+        """
+        count = len(self.possible_vms())
+        if not self.known and not self.is_alone:
+            return self.recorded_size
         known_hosts = {known.member.host for known in self.known.values()}
-        if self.registered_hosts <= known_hosts or now_ms - self.started_ms >= FORGET_MS:
+        if self.registered_hosts <= known_hosts:
             return count
-        # A VM that restarts while it is cut off does not know the VMs on the other side.
         stopped = sum(known.member.leaving for known in self.known.values())
         return max(self.recorded_size - stopped, count)
 
     def fleet_share(self, now_ms: int) -> float:
         """Return the share of the fleet that the VMs are that this VM hears, including this one."""
         possible = self.possible_vm_count(now_ms)
-        silent_ms = now_ms - self.received_ms - ISOLATION_INTERVALS * self.digest_interval_ms()
-        if not self.known or silent_ms < 0:
+        # Digests with many amounts are sent less often.
+        interval_ms = max(self.digest_interval_ms(), self.mean_interval_ms)
+        isolated_ms = now_ms - self.received_ms - ISOLATION_INTERVALS * interval_ms
+        if not self.known or isolated_ms < 0:
             return len(self.heard_vms()) / possible
-        noticed = silent_ms >= (
-            FULL_MESH_TIMEOUT_MS if self.full_mesh else REMOTE_LISTED_TIMEOUT_MS
-        )
-        return (1.0 if noticed else ISOLATED_SHARE) / possible
+        notice_ms = FULL_MESH_TIMEOUT_MS if self.full_mesh else REMOTE_LISTED_TIMEOUT_MS
+        return (1.0 if isolated_ms >= notice_ms else ISOLATED_SHARE) / possible
 
     def hears_majority(self, now_ms: int) -> bool:
         """Tell whether this VM hears most of the fleet; of two halves one counts as most."""
--- a/tests/unit/steering/membership.feature
+++ b/tests/unit/steering/membership.feature
@@ -67,6 +67,31 @@
     When a reader that hears 9 VMs later hears 12
     Then the table holds its host with 10 and then 13 VMs, and no call was made without a change
 
+  Scenario Outline: a reader that restarted and hears no other VM does not record itself as the fleet, <case>
+    Given a table of VMs with the rows <rows>
+    When 1 VM starts again as a reader and hears no other VM for 9 s
+    Then its row in the table is <value>
+
+    Examples:
+      | case                      | rows        | value       |
+      | which is known            | 10.1.0.1 24 | 10.0.0.0 24 |
+      | which is not known        | 10.1.0.1    | 10.0.0.0    |
+      | where it is the only one  | 10.0.0.0    | 10.0.0.0 1  |
+
+  # Beyond a full mesh a digest with many amounts is sent every second or two.
+  Scenario Outline: a VM that gets a digest every <interval> ms and then none for <silence> ms has <share> of the fleet
+    Given a VM that has heard 23 others every <interval> ms for 20 s
+    When nothing arrives for <silence> ms
+    Then its share is <share> of the fleet
+
+    Examples:
+      | interval | silence | share |
+      | 500      | 1100    | 1     |
+      | 1100     | 2400    | 1     |
+      | 500      | 1300    | 1/96  |
+      | 1100     | 3000    | 1/96  |
+      | 500      | 9000    | 1/24  |
+
   Scenario: VMs that are silent are introduced to one that has just appeared
     Given a VM that has not heard 3 of 9 others for 60 s
     When another VM appears
