Let an unused bucket of a cold server earn a second's tokens

Found by reading: a bucket that was unused for a second began with the fleet's share of one token, so that an owner that does not hear one VM sent a cold server nothing while its requests came less often than once a second.

Change: it earns for one second at most. All parts of a fleet together then hold one token and a second's rate.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/warmup.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/warmup.py
@@ -15,8 +15,9 @@
 # the rate.
 OWNER_RATE_SHARE = 0.65
 BUCKET_CAPACITY_S = 0.1
-# A bucket that was not asked for this long starts anew.
-UNUSED_BUCKET_MS = 1_000
+# Longest time for which a bucket that was not used earns tokens. All parts of a fleet together must
+# not have saved up more than the server tolerates.
+MAX_EARNING_MS = 1_000
 
 
 def find_owner(server_id: str, vms: Iterable[str]) -> str | None:
@@ -39,9 +40,9 @@
         """
         per_s *= fleet_share
         elapsed_ms = now_ms - self.refilled_ms
-        if self.tokens is None or elapsed_ms >= UNUSED_BUCKET_MS:
+        if self.tokens is None or elapsed_ms >= MAX_EARNING_MS:
             # All parts of a fleet together start with one token.
-            self.tokens, elapsed_ms = fleet_share, 0
+            self.tokens, elapsed_ms = fleet_share, min(elapsed_ms, MAX_EARNING_MS)
         capacity = max(1.0, per_s * BUCKET_CAPACITY_S)
         self.tokens = min(capacity, self.tokens + per_s * OWNER_RATE_SHARE * elapsed_ms / 1000)
         self.refilled_ms = now_ms
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -933,6 +933,26 @@
     assert len(context.sent) >= context.rate
 
 
+@given(
+    "a cold server that tolerates {rate:g} requests a second, and its owner, which hears {share:g} "
+    "of the fleet"
+)
+def step_quiet_owner(context, rate, share):
+    context.rate, context.share = rate, share
+
+
+@when("a request for it comes every {ms:d} ms")
+def step_few_requests(context, ms):
+    bucket = ColdServerBucket(0)
+    times_ms = range(0, 10 * ms, ms)
+    context.taken = [bucket.take(context.rate, context.share, at_ms) for at_ms in times_ms]
+
+
+@then("it gets all of them but at most the first")
+def step_gets_all(context):
+    assert all(context.taken[1:]), context.taken
+
+
 # Routing state
 
 
--- a/tests/unit/steering/warmup.feature
+++ b/tests/unit/steering/warmup.feature
@@ -15,6 +15,17 @@
       | 22   | its owner is no longer heard          |
       | 60   | its owner is no longer heard          |
 
+  Scenario Outline: a cold server gets the few requests of a quiet fleet of which <share> is heard
+    Given a cold server that tolerates 4.6 requests a second, and its owner, which hears <share> of the fleet
+    When a request for it comes every 1500 ms
+    Then it gets all of them but at most the first
+
+    Examples:
+      | share |
+      | 1     |
+      | 0.9   |
+      | 0.5   |
+
   Scenario: a server counts as cold after the evacuation of its failure domain ends
     Given a routing state with a server in "a"
     When "a" is evacuated
