Grant rates again as soon as each failure domain is heard after a restart of all VMs

Change: from the first interval on and for 4 s, a failure domain of which a VM is heard counts as heard, for rates of organisations alone.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -55,6 +55,9 @@
 # others or knows that it is the only one.
 ASSUMED_VMS_AT_START = 12
 DISCOVERY_MS = 1_000
+# While a VM learns of the others after its start, a failure domain of which it hears one VM counts
+# as heard for the rates of organisations, as the lists of its members follow.
+LEARNING_MS = 4_000
 # A VM that hears nothing at all for this many times the usual interval is cut off. The others still
 # use its share until they notice, so that it uses only a part of that at first.
 ISOLATION_INTERVALS = 2.5
@@ -348,6 +351,20 @@
         notice_ms = FULL_MESH_TIMEOUT_MS if self.full_mesh else REMOTE_LISTED_TIMEOUT_MS
         return (1.0 if isolated_ms >= notice_ms else ISOLATED_SHARE) / possible
 
+    def rate_share(self, now_ms: int) -> float:
+        """Return the share of the rates of organisations for the VMs that this VM hears.
+
+        When a whole fleet restarts, every VM hears most of the others only after some seconds.
+        """
+        share = self.fleet_share(now_ms)
+        elapsed_ms = now_ms - self.started_ms
+        # Before the first interval has passed, a VM has heard others by chance.
+        if not self.live or not COLLECTED_DIGEST_INTERVAL_MS <= elapsed_ms < LEARNING_MS:
+            return share
+        domains = {member.failure_domain for member in self.live if not member.leaving}
+        domains.add(self.deployment.failure_domain)
+        return max(share, len(domains) / len(self.deployment.regions.keys() | domains))
+
     def hears_majority(self, now_ms: int) -> bool:
         """Tell whether this VM hears most of the fleet; of two halves one counts as most."""
         heard, possible = self.heard_vms(), self.possible_vms()
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -538,7 +538,7 @@
 
     def _update_quotas(self, now_ms: int) -> None:
         fleet = FleetView(
-            self.fleet_share,
+            self.membership.rate_share(now_ms),
             self.possible_vms,
             len({self.deployment.region, *map(self._region_of, self.membership.live)}),
         )
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -756,6 +756,25 @@
     context.now_ms = seconds * 1000
 
 
+@when("1 VM starts again and after {seconds:d} s hears a VM of {domains}")
+def step_hears_domains(context, seconds, domains):
+    run_lone_registry(context, seconds, is_reader=False)
+    for number, domain in enumerate(domains.split(" and "), start=1):
+        digest = make_digest(number)
+        (member,) = digest.domains[0].members
+        lists = (DomainMembers(domain, (member._replace(failure_domain=domain),)),)
+        digest = digest._replace(failure_domain=domain, domains=lists)
+        context.started[0].record_digest(digest, context.now_ms)
+    context.started[0].update(context.now_ms)
+
+
+@then("it uses {rates} of the rates of organisations, and {rest} of what else VMs may do together")
+def step_parts(context, rates, rest):
+    membership = context.started[0]
+    assert membership.rate_share(context.now_ms) == float(Fraction(rates))
+    assert membership.fleet_share(context.now_ms) == float(Fraction(rest))
+
+
 @then("it uses 1 of {size:d} parts of what all VMs may do together")
 def step_part(context, size):
     assert context.started[0].fleet_share(context.now_ms) == 1 / size
--- a/tests/unit/steering/membership.feature
+++ b/tests/unit/steering/membership.feature
@@ -62,6 +62,18 @@
       | where it is the only one   | 10.0.0.0 1               | 6       | 1    |
       | where it is not sure yet   | 10.0.0.0                 | 1       | 12   |
 
+  # When all VMs of a large fleet restarted, each refused most requests until it had heard all others.
+  Scenario Outline: a VM that restarted <seconds> s ago and hears a VM of <domains> has <rates> of the rates and <rest> of the rest
+    Given a table of VMs with the rows 10.1.0.1 24
+    When 1 VM starts again and after <seconds> s hears a VM of <domains>
+    Then it uses <rates> of the rates of organisations, and <rest> of what else VMs may do together
+
+    Examples:
+      | seconds | domains | rates | rest |
+      | 2       | a       | 1/2   | 2/24 |
+      | 2       | a and b | 1     | 3/24 |
+      | 5       | a and b | 3/24  | 3/24 |
+
   Scenario: a reader records how many VMs there are, and again when that has changed
     Given an empty table of VMs
     When a reader that hears 9 VMs later hears 12
