--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -3,7 +3,7 @@
 import anyio
 from behave import given, then, when
 
-from berylbankd._internal.backends.connection import BackendConnectionError
+from berylbankd._internal.backends.connection import BackendConnection, BackendConnectionError
 from berylbankd._internal.backends.health import BackendHealth
 from berylbankd._internal.entry.dispatch import AttemptOutcome, Dispatcher, RetryBudget
 from berylbankd._internal.entry.exchange import Exchange
@@ -109,6 +109,40 @@
     )
 
 
+class EndlessConnection(AnsweredConnection):
+    """A connection whose response has a body without end; fails once far too much was read."""
+
+    discard_body = BackendConnection.discard_body
+
+    def __init__(self):
+        self.read_bytes = 0
+        self.closed = False
+
+    async def receive_chunk(self):
+        self.read_bytes += 1_024
+        assert self.read_bytes < 1_048_576, "read without end"
+        return bytes(1_024)
+
+    async def aclose(self):
+        self.closed = True
+
+
+@when("the server refuses it with a body without end")
+def step_refuses_without_end(context):
+    pool, request = FakeSlotPool("server-0"), context.request
+    pool.health = BackendHealth()
+    context.connection = EndlessConnection()
+    context.outcome = anyio.run(
+        request.dispatcher._handle_shed, request.exchange, pool, context.connection
+    )
+
+
+@then("at most {size:d} KiB were read before the connection was closed")
+def step_read_limit(context, size):
+    assert context.connection.closed
+    assert context.connection.read_bytes <= size * 1_024, context.connection.read_bytes
+
+
 @when("the server closes the connection")
 def step_closes(context):
     request = context.request
--- a/tests/support/rights_fleet.py
+++ b/tests/support/rights_fleet.py
@@ -16,7 +16,7 @@
 from tests.support.digest_fleet import TIME_STEP_MS, DigestFleet, SimulatedVm
 from tests.support.steering import ROW_CODEC, server_row
 
-COLD_ID, LIMITED_ID = "cold-0", "limited-0"
+COLD_ID = "cold-0"
 COLD_FOR_S = 600
 LIMIT_PER_S = 12.0
 ORGANISATION = Organisation("alder", ("key",), 0, 40.0, 20.0, frozenset())
@@ -76,7 +76,6 @@
         cold = server_row(COLD_ID, 1, info=info, status=status)
         routing_state.apply_row(cold, self.now_ms)
         vm.limit = ServerLimit(LIMIT_PER_S, self.now_ms, observed=False)
-        vm.limit_domain = "d0"
 
     def restart_behind_cut(self, vms):
         """Restart VMs that then know the hosts in the store, and reach only their own group."""
--- a/tests/unit/entry/dispatch.feature
+++ b/tests/unit/entry/dispatch.feature
@@ -25,3 +25,10 @@
       | 300    | closes the connection | repeated     |
       | 200000 | refuses it            | not repeated |
       | 200000 | closes the connection | not repeated |
+
+  # As in review/3: bytes without end must not be read for ever.
+  Scenario: the body of a refusal that does not end is not read for longer than its limit
+    Given a PUT with a body of 300 bytes that was sent to a server
+    When the server refuses it with a body without end
+    Then the attempt is repeated
+    And at most 66 KiB were read before the connection was closed
