Log the answers that the end of a VM's process cuts

At its end a VM now logs, for each answer of which something is still there, the bytes in the process, those in the kernel, and whether it had come whole from the server. No decision changes.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+import fcntl
 import os
 import select
 import socket
+import struct
+import termios
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple, cast
 
 from uvicorn.config import Config
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -26,6 +29,21 @@
 # Name under which the state of an ASGI scope holds a function that tells whether the caller is
 # still connected.
 IS_CONNECTED = "is_connected"
+REQUEST_ID_HEADER = b"x-request-id"
+QUEUE_SIZE_FORMAT = "i"
+
+
+class UndeliveredResponse(NamedTuple):
+    """A response that has not left this VM, to the last request of a connection.
+
+    ``unsent_bytes`` wait in this process, ``unacknowledged_bytes`` in the kernel, which sends them
+    even if the process ends. A response that isn't ``complete`` has not been written to its end.
+    """
+
+    request_id: str
+    unsent_bytes: int
+    unacknowledged_bytes: int
+    complete: bool
 
 
 class CallerProtocol(HttpToolsProtocol):
@@ -42,6 +60,30 @@
             return False
         return not has_hung_up(self.transport.get_extra_info("socket").fileno())
 
+    def find_undelivered(self) -> UndeliveredResponse | None:
+        """Return the response of which something is still in this VM, or None."""
+        complete = self.cycle is None or self.cycle.response_complete
+        unsent_bytes = self.transport.get_write_buffer_size()
+        unacknowledged_bytes = read_send_queue_size(
+            self.transport.get_extra_info("socket").fileno()
+        )
+        if complete and not unsent_bytes and not unacknowledged_bytes:
+            return None
+        request_id = dict(self.headers or ()).get(REQUEST_ID_HEADER, b"").decode("latin-1")
+        return UndeliveredResponse(request_id, unsent_bytes, unacknowledged_bytes, complete)
+
+
+def read_send_queue_size(file_descriptor: int) -> int:
+    """Return how many bytes the kernel holds that the other end has not acknowledged.
+
+    It is 0 where the kernel does not tell.
+    """
+    try:
+        size = fcntl.ioctl(file_descriptor, termios.TIOCOUTQ, struct.pack(QUEUE_SIZE_FORMAT, 0))
+    except OSError:
+        return 0
+    return int(struct.unpack(QUEUE_SIZE_FORMAT, size)[0])
+
 
 def has_hung_up(file_descriptor: int) -> bool:
     """Tell whether the other end of a TCP connection has closed it."""
@@ -109,6 +151,12 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
 
+    def list_undelivered(self) -> list[UndeliveredResponse]:
+        """Return the responses of which something is still in this VM."""
+        connections = cast(set[CallerProtocol], self.server_state.connections)
+        found = [connection.find_undelivered() for connection in connections]
+        return [response for response in found if response is not None]
+
     async def stop(self, grace_s: float) -> None:
         """Stop listening, and wait up to ``grace_s`` for running requests to finish."""
         self.stop_listening()
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -93,6 +93,7 @@
             await self._stop_gracefully()
             for server in self.http_servers:
                 await server.stop(SERVER_CLOSE_TIMEOUT_S)
+            self._log_cut_responses()
             await self.caller_app.dispatcher.connection_pool.aclose()
             logger.info("stopped")
             group.cancel_scope.cancel()
@@ -338,6 +339,16 @@
             )
             self.caller_app.expire_deadlines()
 
+    def _log_cut_responses(self) -> None:
+        """Log each response that the caller has not got in full when this process ends."""
+        for response in self.caller_server.list_undelivered():
+            cut = response.unsent_bytes or not response.complete
+            logger.bind(**response._asdict()).warning(
+                "response is cut by the end of this process"
+                if cut
+                else "response is left to the kernel at the end of this process"
+            )
+
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for signal_number in signals:
