--- a/tests/environment.py
+++ b/tests/environment.py
@@ -1,9 +1,10 @@
 """Set-up of behave: import paths, and a fleet of daemons for each feature that has its tag.
 
 The tag ``fleet`` starts daemons with their own operator interface, the tag ``steering`` daemons
-that steer requests.
+that steer requests. With the tag ``small_buffers`` too, their sockets have small send buffers.
 """
 
+import os
 import sys
 from contextlib import ExitStack
 from pathlib import Path
@@ -18,7 +19,7 @@
 
         context.fleet_stack, context.fleet, context.keys = open_fleet()
     if "steering" in feature.tags:
-        open_steering(context)
+        open_steering(context, make_environment(feature))
 
 
 def after_feature(context, feature):
@@ -34,7 +35,14 @@
         restore_steering(context)
 
 
-def open_steering(context):
+def make_environment(feature):
+    """Return the environment of a feature's daemons, None for that of this process."""
+    if "small_buffers" not in feature.tags:
+        return None
+    return {**os.environ, "PYTHONPATH": str(ROOT / "tests" / "support" / "small_buffers")}
+
+
+def open_steering(context, environment):
     """Start the steering daemons for a feature, run by an event loop in another thread."""
     import httpx
     from anyio.from_thread import start_blocking_portal
@@ -42,7 +50,9 @@
 
     context.steering_stack = ExitStack()
     context.portal = context.steering_stack.enter_context(start_blocking_portal())
-    manager = context.portal.wrap_async_context_manager(open_steering_fleet())
+    manager = context.portal.wrap_async_context_manager(
+        open_steering_fleet(environment=environment)
+    )
     context.steering = context.steering_stack.enter_context(manager)
     limits = httpx.Limits(max_keepalive_connections=0)
     context.steering.client = httpx.Client(limits=limits, verify=False, trust_env=False)
--- /dev/null
+++ b/tests/functional/stop.feature
@@ -0,0 +1,36 @@
+@steering @small_buffers
+Feature: A stop on the users' platform, while callers read slowly
+
+  # Issue 37: answers that the VM had from the server were cut when its process ended.
+  Scenario Outline: responses of <size> bytes that callers read at <rate> bytes per second are whole when the VM has exited
+    Given every server sends <size> bytes
+    When a VM gets SIGTERM while callers read responses at <rate> bytes per second through slow links
+    Then every caller got its whole response
+    And the VM exits with code 0
+
+    Examples:
+      | size    | rate    |
+      | 300000  | 220000  |
+      | 900000  | 650000  |
+      | 1200000 | 1000000 |
+
+  Scenario: a second SIGTERM and a SIGHUP during the stop cut no response
+    Given every server sends 900000 bytes
+    When a VM gets SIGTERM again and again while callers read responses at 650000 bytes per second through slow links
+    Then every caller got its whole response
+    And the VM exits with code 0
+
+  Scenario: a caller that reads nothing does not keep a stopping VM beyond its grace time
+    Given every server sends 900000 bytes
+    When a VM gets SIGTERM while a caller reads nothing of its response
+    Then the VM has exited with code 0 within its grace time
+    And the VM's log names the response that was cut
+
+  Scenario: connections that wait to be accepted when a stopping VM stops listening are answered
+    When a VM gets SIGTERM and callers keep connecting until it has exited
+    Then every caller whose connection was opened got a response or a close, never a reset
+
+  Scenario: a silent server's response is awaited by a stopping VM, although other servers refuse
+    Given only the first server of object 7 serves, after 1500 ms without a byte
+    When a VM gets SIGTERM 100 ms after a caller has asked for object 7
+    Then the caller gets 200 with the signature of its first server
--- a/tools/steering_fleet.py
+++ b/tools/steering_fleet.py
@@ -88,13 +88,19 @@
 class SteeringFleet:
     """The row store, the backend servers and the VMs.
 
-    Every VM has its own loopback address and the same ports.
+    Every VM has its own loopback address and the same ports. ``environment`` is that of the
+    daemons, None for the environment of this process.
     """
 
     def __init__(
-        self, group: TaskGroup, folder: Path, open_store_link: OpenStoreLink | None = None
+        self,
+        group: TaskGroup,
+        folder: Path,
+        open_store_link: OpenStoreLink | None = None,
+        environment: dict[str, str] | None = None,
     ) -> None:
         self.group = group
+        self.environment = environment
         self.open_store_link = open_store_link
         self.store_links: dict[str, Any] = {}
         self.folder = folder
@@ -188,6 +194,7 @@
             [sys.executable, "-m", "berylbankd", "steer", "--settings", str(path)],
             stdout=log,
             stderr=log,
+            env=self.environment,
         )
 
     async def wait_ready(self, vm: Vm, ready: bool = True) -> None:
@@ -240,11 +247,12 @@
     servers: int = 3,
     behaviour: SteeredBehaviour | None = None,
     open_store_link: OpenStoreLink | None = None,
+    environment: dict[str, str] | None = None,
 ) -> AsyncIterator[SteeringFleet]:
     """Run a fleet for the duration of the context."""
     with tempfile.TemporaryDirectory() as folder:
         async with anyio.create_task_group() as group:
-            fleet = SteeringFleet(group, Path(folder), open_store_link)
+            fleet = SteeringFleet(group, Path(folder), open_store_link, environment)
             try:
                 await fleet.start(vms, servers, behaviour or SteeredBehaviour())
                 yield fleet
