Wait for silent servers while a VM stops

What callers saw: a read whose server was at work is answered 502 by a stopping VM.

Cause: an idempotent request whose server is silent for 2.5 times the route's objective is ended and sent to another server.

Change: from SIGTERM on no attempt ends because of silence, and those under way get until their deadline. Outside of stops nothing changes.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -6,6 +6,8 @@
 that a retry can still replace an incomplete response.
 """
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import Enum
 from typing import NamedTuple
 
@@ -114,7 +116,12 @@
 
 
 class Dispatcher:
-    """Picks backend servers for a request, sends it to them and receives the response."""
+    """Picks backend servers for a request, sends it to them and receives the response.
+
+    ``hang_scopes`` holds the cancel scopes of attempts that end before the request's deadline if
+    their server is silent, each with that deadline, in seconds of the event loop. While
+    ``stopping`` is set, no attempt ends because of its server's silence.
+    """
 
     def __init__(self, steering: Steering, codec: HeaderCodec, clock: Clock) -> None:
         self.steering = steering
@@ -122,6 +129,17 @@
         self.clock = clock
         self.connection_pool = ConnectionPool()
         self.total_buffered_bytes = 0
+        self.hang_scopes: dict[anyio.CancelScope, float] = {}
+        self.stopping = False
+
+    def start_stopping(self) -> None:
+        """Wait for silent servers until the requests' deadlines from now on.
+
+        A stopping VM may have no time left for another attempt.
+        """
+        self.stopping = True
+        for scope, deadline_s in self.hang_scopes.items():
+            scope.deadline = deadline_s
 
     async def dispatch(
         self,
@@ -354,8 +372,12 @@
     ) -> AttemptOutcome:
         started_ms = self.clock.now_ms()
         response_timeout_s = self._response_timeout_s(pick_request, dispatch_metadata)
+        deadline_s = anyio.current_time() + dispatch_metadata.deadline_ms / 1000
         try:
-            with anyio.fail_after(response_timeout_s):
+            with (
+                anyio.fail_after(response_timeout_s) as hang_scope,
+                self._track_hang_scope(hang_scope, deadline_s),
+            ):
                 await self._send_request(exchange, dispatch_metadata, connection)
                 head, response_metadata = await self._receive_matching_head(exchange, connection)
                 self._apply_response_metadata(pick, connection, response_metadata, started_ms)
@@ -380,6 +402,14 @@
             self.connection_pool.record_live_connection(pick.server.registration.address)
         return self._classify_response(pick_request, pick, response_metadata, response, started_ms)
 
+    @contextmanager
+    def _track_hang_scope(self, scope: anyio.CancelScope, deadline_s: float) -> Iterator[None]:
+        self.hang_scopes[scope] = deadline_s
+        try:
+            yield
+        finally:
+            del self.hang_scopes[scope]
+
     def _classify_response(
         self,
         pick_request: PickRequest,
@@ -421,7 +451,8 @@
         """
         remaining_s = dispatch_metadata.deadline_ms / 1000
         if (
-            not pick_request.route.kind.idempotent
+            self.stopping
+            or not pick_request.route.kind.idempotent
             or pick_request.route.max_attempts <= len(pick_request.tried) + 1
         ):
             return remaining_s
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -320,6 +320,7 @@
         )
         accept_ms = max(0, accept_ms)
         self.steering.leaving = True
+        self.caller_app.dispatcher.start_stopping()
         self.caller_app.stop_times = StopTimes(
             now_ms + accept_ms + LAST_REQUESTS_MS, now_ms + finish_ms
         )
