Read on when a connection ends, so that no reset cuts its response

Cause: a connection that ends with its response was closed at once. If the caller still sends (the rest of a body that the server answered early, a malformed request, the next request), the kernel answers with a reset and drops what it holds of the response. The same at the end of a stop: idle connections were closed with a request unread in them.

Evidence, without a SIGTERM: a response of 150000 bytes to a caller that still sends its body through a slow link ended after 16322 bytes; 20 requests sent just before a stop were all reset.

Change: such a connection ends its own direction and reads on until the caller closes, 5 s at most; during a stop all do, which also shows when the response has arrived. An idle connection is closed at a stop when its input has been read. Where the request was whole and no stop is under way, the connection is closed at once as before.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -25,6 +25,8 @@
 # Callers' idle connections are kept open for at least this long. Callers reuse a connection only
 # for part of the idle time that the configuration gives them.
 KEEP_ALIVE_S = 61
+# A caller that still sends when its connection is to be closed has this long to read the response.
+LINGER_TIMEOUT_S = 5.0
 STOP_POLL_INTERVAL_S = 0.02
 # Name under which the state of an ASGI scope holds a function that tells whether the caller is
 # still connected.
@@ -46,9 +48,83 @@
     complete: bool
 
 
+class LingeringTransport:
+    """A caller's transport that can be closed while the caller still sends.
+
+    The kernel resets a connection that is closed before all input was read, and drops what it has
+    not delivered of the response. So the transport first ends its own direction only, and is closed
+    when the caller closes, or after ``LINGER_TIMEOUT_S``.
+    """
+
+    def __init__(self, transport: asyncio.Transport, protocol: "CallerProtocol") -> None:
+        self.transport = transport
+        self.protocol = protocol
+        self.lingering = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.write = transport.write
+        self.get_extra_info = transport.get_extra_info
+        self.get_write_buffer_size = transport.get_write_buffer_size
+        self.pause_reading = transport.pause_reading
+        self.resume_reading = transport.resume_reading
+
+    def is_closing(self) -> bool:
+        """Tell whether nothing more is sent after what was written already."""
+        return self.lingering or self.transport.is_closing()
+
+    def close(self) -> None:
+        """Close the connection after what was written, and wait for a caller that still sends."""
+        if self.is_closing():
+            return
+        if not self.protocol.must_linger():
+            self.transport.close()
+            return
+        self.lingering = True
+        self.protocol.flow.resume_reading()
+        self.transport.write_eof()
+        self.timer = asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.close_now)
+
+    def close_now(self) -> None:
+        """Close the connection after what was written, whether or not the caller still sends."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.transport.close()
+
+
 class CallerProtocol(HttpToolsProtocol):
     """A connection of a caller, which requests can ask whether the caller has closed it."""
 
+    def __init__(self, http_server: "HttpServer") -> None:
+        super().__init__(
+            config=http_server.config, server_state=http_server.server_state, app_state={}
+        )
+        self.http_server = http_server
+        self.malformed = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Start to serve a connection."""
+        self.lingering_transport = LingeringTransport(transport, self)
+        super().connection_made(cast(asyncio.Transport, self.lingering_transport))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the requests of the connection."""
+        self.lingering_transport.close_now()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the caller has sent, unless the connection is ending."""
+        if not self.lingering_transport.lingering:
+            super().data_received(data)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse a malformed request, and end the connection."""
+        self.malformed = True
+        super().send_400_response(msg)
+
+    def must_linger(self) -> bool:
+        """Tell whether the caller may send more before it has read its response."""
+        body_expected = self.cycle is not None and self.cycle.more_body
+        return body_expected or self.malformed or bool(self.pipeline) or self.http_server.stopping
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         super().on_message_begin()
@@ -62,10 +138,11 @@
 
     def close_if_delivered(self) -> None:
         """Close the connection if nothing of a response is left, else let no request follow."""
-        if self.find_undelivered() is None:
-            self.transport.close()
-        else:
-            self.cycle.keep_alive = False
+        if self.find_undelivered() is not None:
+            if self.cycle is not None:
+                self.cycle.keep_alive = False
+        elif not has_input(self.transport.get_extra_info("socket").fileno()):
+            self.lingering_transport.close_now()
 
     def find_undelivered(self) -> UndeliveredResponse | None:
         """Return the response of which something is still in this VM, or None."""
@@ -87,11 +164,22 @@
     """
     try:
         size = fcntl.ioctl(file_descriptor, termios.TIOCOUTQ, struct.pack(QUEUE_SIZE_FORMAT, 0))
-    except OSError:
+    except (OSError, ValueError):  # ValueError: the connection has just been closed
         return 0
     return int(struct.unpack(QUEUE_SIZE_FORMAT, size)[0])
 
 
+def has_input(file_descriptor: int) -> bool:
+    """Tell whether there is input on a connection that the event loop has not read.
+
+    That is a request which has just arrived. The close of the other end does not count.
+    """
+    poll = select.poll()
+    poll.register(file_descriptor, select.POLLIN | select.POLLRDHUP)
+    events = poll.poll(0)
+    return bool(events) and events[0][1] == select.POLLIN
+
+
 def has_hung_up(file_descriptor: int) -> bool:
     """Tell whether the other end of a TCP connection has closed it."""
     poll = select.poll()
@@ -133,24 +221,31 @@
         self.config.load()
         self.server_state = ServerState()
         self.server: asyncio.Server | None = None
+        self.listener: socket.socket | None = None
+        self.stopping = False
 
     async def start(self) -> None:
         """Start listening."""
+        address = (self.address.host, self.address.port)
+        self.listener = socket.create_server(address, backlog=LISTEN_BACKLOG_CONNECTIONS)
         self.server = await asyncio.get_running_loop().create_server(
-            self._make_protocol,
-            self.address.host,
-            self.address.port,
-            backlog=LISTEN_BACKLOG_CONNECTIONS,
+            self._make_protocol, sock=self.listener, backlog=LISTEN_BACKLOG_CONNECTIONS
         )
 
     def set_min_keep_alive(self, min_idle_ms: int) -> None:
         """Set for how long at least connections opened from now on are kept open while idle."""
         self.config.timeout_keep_alive = max(KEEP_ALIVE_S, min_idle_ms // 1000 + 1)
 
-    def stop_accepting(self) -> None:
-        """Stop accepting connections; those that are open are still served."""
-        if self.server is not None:
-            self.server.close()
+    def prepare_stop(self) -> None:
+        """Close connections from now on only when their callers have closed them or have waited."""
+        self.stopping = True
+
+    async def stop_accepting(self) -> None:
+        """Stop accepting connections; those that are open, for the kernel too, are still served."""
+        if self.server is None or self.listener is None:
+            return
+        self.listener = None
+        self.server.close()
 
     def list_undelivered(self) -> list[UndeliveredResponse]:
         """Return the responses of which something is still in this VM."""
@@ -162,7 +257,8 @@
 
         It returns after ``grace_s`` even if callers have not read their responses by then.
         """
-        self.stop_accepting()
+        self.prepare_stop()
+        await self.stop_accepting()
         deadline_s = asyncio.get_running_loop().time() + grace_s
         while self.server_state.connections:
             for connection in self._list_connections():
@@ -175,4 +271,4 @@
         return list(cast(set[CallerProtocol], self.server_state.connections))
 
     def _make_protocol(self) -> CallerProtocol:
-        return CallerProtocol(config=self.config, server_state=self.server_state, app_state={})
+        return CallerProtocol(self)
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -320,6 +320,7 @@
         )
         accept_ms = max(0, accept_ms)
         self.steering.leaving = True
+        self.caller_server.prepare_stop()
         self.caller_app.dispatcher.start_stopping()
         self.caller_app.stop_times = StopTimes(
             now_ms + accept_ms + LAST_REQUESTS_MS, now_ms + finish_ms
@@ -331,7 +332,7 @@
         )
         await anyio.sleep(accept_ms / 1000)
         # Open connections stay, so that requests on them are refused and not cut.
-        self.caller_server.stop_accepting()
+        await self.caller_server.stop_accepting()
         with anyio.move_on_after((finish_ms - accept_ms) / 1000):
             while self.caller_app.running_requests:
                 await anyio.sleep(RUNNING_REQUESTS_CHECK_INTERVAL_S)
--- a/tests/support/slow_links.py
+++ b/tests/support/slow_links.py
@@ -186,7 +186,7 @@
                 if bytes_per_s is not None:
                     next_s += len(data) / bytes_per_s
             sink.shutdown(socket.SHUT_WR)
-        except OSError:
+        except (OSError, ValueError):  # ValueError: the other direction has closed the sockets
             reset(sink)
 
 
