Serve the connections that wait to be accepted when a VM stops listening

What callers saw: a reset on a connection that they had just opened, around a SIGTERM.

Cause: closing the listening socket resets the connections in its backlog. Their requests were never read, so no promise was broken, but a busy VM refused callers that it could have served. Evidence: of 20 connections that the kernel had opened none was answered. Change: the VM accepts what waits before it closes the socket.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -244,8 +244,13 @@
         """Stop accepting connections; those that are open, for the kernel too, are still served."""
         if self.server is None or self.listener is None:
             return
+        waiting = accept_waiting(self.listener)
         self.listener = None
         self.server.close()
+        for connection in waiting:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self._make_protocol, connection
+            )
 
     def list_undelivered(self) -> list[UndeliveredResponse]:
         """Return the responses of which something is still in this VM."""
@@ -272,3 +277,15 @@
 
     def _make_protocol(self) -> CallerProtocol:
         return CallerProtocol(self)
+
+
+def accept_waiting(listener: socket.socket) -> list[socket.socket]:
+    """Accept the connections that callers have opened and the event loop has not accepted yet."""
+    waiting: list[socket.socket] = []
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return waiting
+        connection.setblocking(False)
+        waiting.append(connection)
--- a/tests/unit/http_server.feature
+++ b/tests/unit/http_server.feature
@@ -15,6 +15,11 @@
     When a caller sends a malformed head and 1000000 bytes after it
     Then the caller got status 400 and its whole body
 
+  Scenario: connections that the kernel has opened when a server stops accepting are served
+    Given a server that responds with 100 bytes
+    When 20 callers connect, the server stops accepting, and the callers send requests
+    Then every caller got the whole response
+
   Scenario: a request that has arrived when a server closes its idle connections is answered
     Given a server that responds with 100 bytes
     When callers on 20 kept connections send requests just before the server stops
