Count a long response as running until it has left the process

Cause: a request was over when its response was written. So the stop did not know how long callers read, and started requests for which only the server's time was left. Also, requests were started until 3.1 s after the signal was noticed; those sent later than 3 s after it must not be cut.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -28,9 +28,10 @@
 # A caller that still sends when its connection is to be closed has this long to read the response.
 LINGER_TIMEOUT_S = 5.0
 STOP_POLL_INTERVAL_S = 0.02
-# Name under which the state of an ASGI scope holds a function that tells whether the caller is
-# still connected.
+# Names under which the state of an ASGI scope holds functions that tell whether the caller is still
+# connected, and how many bytes that were written to the connection wait in this process.
 IS_CONNECTED = "is_connected"
+COUNT_UNSENT_BYTES = "count_unsent_bytes"
 REQUEST_ID_HEADER = b"x-request-id"
 QUEUE_SIZE_FORMAT = "i"
 
@@ -128,7 +129,9 @@
     def on_message_begin(self) -> None:
         """Start a new request."""
         super().on_message_begin()
-        self.scope["state"][IS_CONNECTED] = self.is_connected
+        state = self.scope["state"]
+        state[IS_CONNECTED] = self.is_connected
+        state[COUNT_UNSENT_BYTES] = self.transport.get_write_buffer_size
 
     def is_connected(self) -> bool:
         """Tell whether the caller is connected, also if the event loop has not read its close."""
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -1,5 +1,7 @@
 """The ASGI application for callers: admits, dispatches, answers and logs each request."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any, NamedTuple
 
 import anyio
@@ -14,6 +16,7 @@
 from berylbankd._internal.ingress.rate_limiter import RateLimiter
 from berylbankd._internal.ingress.request_faults import RequestFaults
 from berylbankd._internal.ingress.request_log import RequestLog, RequestRecord
+from berylbankd._internal.ingress.stop_plan import StopPlan
 from berylbankd._internal.models.types import Organisation, Route
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 from berylbankd._internal.steering.picks import PickRequest
@@ -30,6 +33,11 @@
 # Time that a stopping VM must have left for a request, as a multiple of what the slowest recent
 # ones took.
 SERVICE_TIME_MARGIN = 1.25
+# Shorter responses leave the process at once, or fit into what a stop leaves for callers to read.
+MIN_TRACKED_BYTES = 16_384
+UNSENT_CHECK_INTERVAL_S = 0.02
+# With each long response, the longest recent delivery falls by this factor until one takes longer.
+LONGEST_DELIVERY_DECAY = 0.99
 # Scale of the retry delays after a refusal for lack of processor time.
 OVERLOAD_RETRY_MS = 500
 
@@ -41,18 +49,12 @@
     regions: frozenset[str]
 
 
-class StopTimes(NamedTuple):
-    """When a stopping VM starts the last requests, and when it ends those still running."""
-
-    last_start_ms: int
-    end_ms: int
-
-
 class CallerApp:
-    """Serves callers' requests. ``stop_times`` is set while the VM is stopping.
+    """Serves callers' requests. ``stop_plan`` is set while the VM is stopping.
 
-    ``deadline_scopes`` holds the cancel scope of each request that is being dispatched; cancelling
-    it has the same effect as the request's deadline.
+    ``deadline_scopes`` holds the cancel scope of each request that waits for its body or for a
+    server; cancelling it has the same effect as the deadline of that wait. ``longest_delivery_ms``
+    is how long the slowest recent caller took to read its response.
     """
 
     def __init__(
@@ -73,13 +75,29 @@
         self.intake = RequestIntake(clock)
         self.running_requests = 0
         self.deadline_scopes: set[anyio.CancelScope] = set()
-        self.stop_times: StopTimes | None = None
+        self.stop_plan: StopPlan | None = None
+        self.longest_delivery_ms = 0.0
+
+    def start_stopping(self, plan: StopPlan) -> None:
+        """Start only requests that can still finish from now on, and wait for silent servers."""
+        self.stop_plan = plan
+        self.dispatcher.start_stopping()
 
     def expire_deadlines(self) -> None:
-        """Expire the deadline of every running request now, so that each is answered."""
+        """End the wait of every request for its body or a server now, so that each is answered."""
         for deadline_scope in list(self.deadline_scopes):
             deadline_scope.cancel()
 
+    @contextmanager
+    def _end_with_stop(self, scope: anyio.CancelScope) -> Iterator[anyio.CancelScope]:
+        """Enter a cancel scope that the end of a stop cancels."""
+        with scope:
+            self.deadline_scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self.deadline_scopes.discard(scope)
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one connection event."""
         if scope["type"] != "http":
@@ -214,19 +232,20 @@
 
     def _can_finish(self, service: str, deadline_ms: int) -> bool:
         """Tell whether a request would end before a stopping VM ends what is still running."""
-        if self.stop_times is None:
+        if self.stop_plan is None:
             return True
         now_ms = self.clock.now_ms()
-        if now_ms > self.stop_times.last_start_ms:
+        if now_ms > self.stop_plan.last_start_ms:
             return False
         longest_ms = SERVICE_TIME_MARGIN * self.steering.longest_service_ms(service)
-        return min(deadline_ms, now_ms + longest_ms) <= self.stop_times.end_ms
+        longest_ms += self.longest_delivery_ms
+        return min(deadline_ms, now_ms + longest_ms) <= self.stop_plan.end_ms
 
     def longest_request_ms(self) -> int:
         """Return the time that a stopping VM must have left for a request of any service."""
         services = self.steering.longest_recent_ms
         longest_ms = max(map(self.steering.longest_service_ms, services), default=0.0)
-        return int(SERVICE_TIME_MARGIN * longest_ms)
+        return int(SERVICE_TIME_MARGIN * longest_ms + self.longest_delivery_ms)
 
     async def _end_without_caller(
         self, exchange: CallerExchange, attempts: RequestAttempts
@@ -251,16 +270,13 @@
         async with anyio.create_task_group() as group:
             group.start_soon(cancel_on_disconnect, group.cancel_scope)
             remaining_s = max(0, deadline_ms - self.clock.now_ms()) / 1000
-            with anyio.move_on_after(remaining_s) as deadline_scope:
-                self.deadline_scopes.add(deadline_scope)
+            with self._end_with_stop(anyio.move_on_after(remaining_s)) as deadline_scope:
                 try:
                     result = await self.dispatcher.dispatch(
                         exchange, pick_request, deadline_ms, attempts
                     )
                 except CallerDisconnectedError:
                     group.cancel_scope.cancel()
-                finally:
-                    self.deadline_scopes.discard(deadline_scope)
             if deadline_scope.cancelled_caught:
                 result = make_result_after_deadline(attempts)
             group.cancel_scope.cancel()
@@ -285,8 +301,21 @@
             await exchange.send_chunk(result.body, last=True)
         else:
             cause = await self._relay_response(exchange, result, attempts)
+        if len(result.body) > MIN_TRACKED_BYTES:
+            await self._wait_until_sent(exchange)
         self._log_request(exchange, attempts, result.status, cause)
 
+    async def _wait_until_sent(self, exchange: CallerExchange) -> None:
+        """Wait until a long response has left this process, as its caller may read slowly."""
+        started_ms = self.clock.now_ms()
+        # The event loop sends what was written in its next pass.
+        await anyio.sleep(0)
+        while exchange.count_unsent_bytes():
+            await anyio.sleep(UNSENT_CHECK_INTERVAL_S)
+        self.longest_delivery_ms = max(
+            self.clock.now_ms() - started_ms, self.longest_delivery_ms * LONGEST_DELIVERY_DECAY
+        )
+
     async def _relay_response(
         self, exchange: CallerExchange, response: BufferedResponse, attempts: RequestAttempts
     ) -> str:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from berylbankd._internal.http_server import IS_CONNECTED
+from berylbankd._internal.http_server import COUNT_UNSENT_BYTES, IS_CONNECTED
 from berylbankd._internal.ingress.codec import HeaderCodec, HeaderList, RequestMetadata
 from berylbankd._internal.models.types import Organisation, Route
 from berylbankd._internal.refusals import Refusal
@@ -27,6 +27,11 @@
     return True
 
 
+def assume_sent() -> int:
+    """Stand in for the count of unsent bytes where the server offers none."""
+    return 0
+
+
 class CallerDisconnectedError(Exception):
     """The caller closed its connection."""
 
@@ -34,7 +39,8 @@
 class CallerExchange:
     """A caller's request with its body; sends the response.
 
-    ``is_connected`` tells whether the caller is still there. ``body`` is the buffered part of the
+    ``is_connected`` tells whether the caller is still there, ``count_unsent_bytes`` how much of the
+    response waits in this process. ``body`` is the buffered part of the
     request body, ``body_complete`` is set once the whole body has been received, buffered or not,
     and ``body_replayable`` is unset once a part of it was received that is not in the buffer.
     ``route`` and ``organisation`` are set when the request is admitted. ``response_started`` is set
@@ -52,9 +58,9 @@
         self.headers: HeaderList = scope["headers"]
         self.receive = receive
         self.send = send
-        self.is_connected: Callable[[], bool] = scope.get("state", {}).get(
-            IS_CONNECTED, assume_connected
-        )
+        state = scope.get("state", {})
+        self.is_connected: Callable[[], bool] = state.get(IS_CONNECTED, assume_connected)
+        self.count_unsent_bytes: Callable[[], int] = state.get(COUNT_UNSENT_BYTES, assume_sent)
         self.arrived_ms = now_ms
         self.metadata: RequestMetadata = codec.decode_request(self.headers)
         self.body = b""
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -18,7 +18,7 @@
 from berylbankd._internal.feeds.round_trips import RoundTripMeter
 from berylbankd._internal.feeds.row_replicator import RowReplicator
 from berylbankd._internal.http_server import HttpServer
-from berylbankd._internal.ingress.app import CallerApp, StopTimes
+from berylbankd._internal.ingress.app import CallerApp
 from berylbankd._internal.ingress.endpoints import (
     EndpointApp,
     EndpointResponse,
@@ -27,6 +27,7 @@
 )
 from berylbankd._internal.ingress.rate_limiter import RateLimiter
 from berylbankd._internal.ingress.request_log import RequestLog
+from berylbankd._internal.ingress.stop_plan import plan_stop
 from berylbankd._internal.logs import LogWriter
 from berylbankd._internal.metrics import Metrics
 from berylbankd._internal.models.deployment import Deployment
@@ -47,16 +48,6 @@
 # Callers keep the answer of a look-up at most this long, and stop using a VM that is not in the
 # next one.
 MAX_LOOKUP_TTL_MS = 2_000
-# A stopping VM starts requests for this share of the grace time, but no longer than the maximum, as
-# callers still use earlier look-up answers.
-ACCEPT_GRACE_RATIO = 0.5
-MAX_ACCEPT_MS = 3_000
-# Connections that were accepted last deliver their requests within this time.
-LAST_REQUESTS_MS = 100
-# After that it refuses new requests and finishes running ones, until this share has passed.
-FINISH_GRACE_RATIO = 0.88
-# Callers read the last responses until this share of the grace time has passed.
-DELIVER_GRACE_RATIO = 0.95
 # How often the settings file is checked for changes that no SIGHUP announced.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 # Changes within this time are announced by the same digest.
@@ -90,11 +81,7 @@
             self._start_tasks(group)
             await self._start_servers()
             await self.stop_requested.wait()
-            deliver_ms = self.clock.now_ms() + int(
-                self.deployment.bounds.grace_ms * DELIVER_GRACE_RATIO
-            )
             await self._stop_gracefully()
-            await self._stop_servers(deliver_ms)
             self._log_cut_responses()
             await self.caller_app.dispatcher.connection_pool.aclose()
             logger.info("stopped")
@@ -309,39 +296,33 @@
 
     async def _stop_gracefully(self) -> None:
         """Leave look-up answers, serve callers for a time, then finish running requests."""
-        grace_ms = self.deployment.bounds.grace_ms
-        now_ms = self.clock.now_ms()
-        finish_ms = int(grace_ms * FINISH_GRACE_RATIO)
-        # Callers whose connections are refused use other VMs at once.
-        accept_ms = min(
-            int(grace_ms * ACCEPT_GRACE_RATIO),
-            MAX_ACCEPT_MS,
-            finish_ms - self.caller_app.longest_request_ms() - LAST_REQUESTS_MS,
+        app = self.caller_app
+        plan = plan_stop(
+            self.clock.now_ms(), self.deployment.bounds.grace_ms, app.longest_request_ms()
         )
-        accept_ms = max(0, accept_ms)
         self.steering.leaving = True
         self.caller_server.prepare_stop()
-        self.caller_app.dispatcher.start_stopping()
-        self.caller_app.stop_times = StopTimes(
-            now_ms + accept_ms + LAST_REQUESTS_MS, now_ms + finish_ms
-        )
+        app.start_stopping(plan)
         self.digest_due.set()
         logger.info(
-            "stopping: callers move to other VMs, {} requests running",
-            self.caller_app.running_requests,
+            "stopping: callers move to other VMs, {} requests running", app.running_requests
         )
-        await anyio.sleep(accept_ms / 1000)
+        await self._sleep_until(plan.close_ms)
         # Open connections stay, so that requests on them are refused and not cut.
         await self.caller_server.stop_accepting()
-        with anyio.move_on_after((finish_ms - accept_ms) / 1000):
-            while self.caller_app.running_requests:
-                await anyio.sleep(RUNNING_REQUESTS_CHECK_INTERVAL_S)
-        if self.caller_app.running_requests:
+        await self._sleep_until(plan.last_start_ms)
+        while app.running_requests and self.clock.now_ms() < plan.end_ms:
+            await anyio.sleep(RUNNING_REQUESTS_CHECK_INTERVAL_S)
+        if app.running_requests:
             logger.warning(
                 "{} requests did not finish within the grace time; ending them",
-                self.caller_app.running_requests,
+                app.running_requests,
             )
-            self.caller_app.expire_deadlines()
+            app.expire_deadlines()
+        await self._stop_servers(plan.deliver_ms)
+
+    async def _sleep_until(self, time_ms: int) -> None:
+        await anyio.sleep(max(0, time_ms - self.clock.now_ms()) / 1000)
 
     async def _stop_servers(self, deliver_ms: int) -> None:
         """Close the HTTP servers when callers have their responses, at the latest at a time."""
--- a/tests/functional/stop.feature
+++ b/tests/functional/stop.feature
@@ -34,3 +34,11 @@
     Given only the first server of object 7 serves, after 1500 ms without a byte
     When a VM gets SIGTERM 100 ms after a caller has asked for object 7
     Then the caller gets 200 with the signature of its first server
+    And the VM exits with code 0
+
+  Scenario: a stopping VM starts no request whose response its caller could not read in the grace time
+    Given every server sends 400000 bytes
+    And a caller has read a response of the VM at 300000 bytes per second through a slow link
+    When the VM gets SIGTERM and callers ask every 100 ms, who read 300000 bytes per second through slow links
+    Then every caller got its whole response or was refused as not run
+    And the VM exits with code 0
--- a/tests/steps/stop_steps.py
+++ b/tests/steps/stop_steps.py
@@ -1,6 +1,7 @@
 """Steps on the stop of a VM while callers read its responses slowly."""
 
 import asyncio
+import json
 import os
 import signal
 import time
@@ -19,6 +20,7 @@
 # How long after its request a caller lets the VM get the response from the server.
 SERVER_TIME_S = 0.15
 LINK_DELAY_S = 0.02
+FAST = 1e9
 
 
 @given("every server sends {size:d} bytes")
@@ -141,7 +143,7 @@
     context.received = []
 
     async def call(number):
-        caller = SlowCaller(vm.ip, context.steering.http_port, 1e9)
+        caller = SlowCaller(vm.ip, context.steering.http_port, FAST)
         try:
             await caller.connect()
         except OSError:
@@ -174,7 +176,7 @@
 
 async def read_then_stop(context, object_key, ms):
     vm = context.steering.vms[2]
-    caller = SlowCaller(vm.ip, context.steering.http_port, 1e9)
+    caller = SlowCaller(vm.ip, context.steering.http_port, FAST)
     try:
         await caller.connect()
         headers = make_headers(context, object_key)
@@ -191,3 +193,77 @@
     got = context.received[0]
     assert got.status == status and got.end == "whole", (got.status, got.end, got.body[:300])
     assert got.headers["x-server-signature"] == f"signed-{context.first_server}", got.headers
+
+
+@given("a caller has read a response of the VM at {rate:d} bytes per second through a slow link")
+def step_read_slowly(context, rate):
+    run_in_fleet(context, read_slowly, context, rate)
+
+
+async def read_slowly(context, rate):
+    """Read one response of the VM through a slow link, and return it."""
+    vm = context.steering.vms[2]
+    proxy = SlowProxy((vm.ip, context.steering.http_port), rate, LINK_DELAY_S)
+    proxy.start()
+    caller = SlowCaller(*proxy.address, rate * 2)
+    try:
+        await caller.connect()
+        headers = make_headers(context, 1, x_deadline_ms="9000")
+        return await asyncio.wait_for(caller.request("GET", "/reads/x", headers), 20)
+    finally:
+        caller.close()
+        proxy.close()
+
+
+@when(
+    "the VM gets SIGTERM and callers ask every {ms:d} ms, who read {rate:d} bytes per second"
+    " through slow links"
+)
+def step_stop_slow_arrivals(context, ms, rate):
+    run_in_fleet(context, stop_during_slow_arrivals, context, ms, rate)
+
+
+async def stop_during_slow_arrivals(context, ms, rate):
+    vm = context.steering.vms[2]
+    os.kill(vm.process.pid, signal.SIGTERM)
+    requests = []
+    while vm.process.returncode is None:
+        requests.append(asyncio.create_task(read_slowly(context, rate)))
+        await asyncio.sleep(ms / 1000)
+    context.received = await asyncio.gather(*requests)
+
+
+@then("every caller got its whole response or was refused as not run")
+def step_whole_or_refused(context):
+    report = [(got.status, len(got.body), got.end) for got in context.received]
+    for got in context.received:
+        unread = got.status == 0
+        refused = got.status == 503 and json.loads(got.body)["ran"] == "no"
+        served = got.status == 200 and len(got.body) > context.body_bytes
+        assert unread or got.end == "whole" and (refused or served), report
+
+
+@when("the VM gets SIGTERM while a caller has sent half of its body")
+def step_stop_in_body(context):
+    run_in_fleet(context, stop_in_body, context)
+
+
+async def stop_in_body(context):
+    vm = context.steering.vms[2]
+    caller = SlowCaller(vm.ip, context.steering.http_port, FAST)
+    try:
+        await caller.connect()
+        headers = {**make_headers(context, 1), "content-length": "1000"}
+        lines = ["POST /books/x HTTP/1.1", *(f"{name}: {headers[name]}" for name in headers)]
+        await caller.send("\r\n".join([*lines, "", "x" * 500]).encode())
+        os.kill(vm.process.pid, signal.SIGTERM)
+        context.received = [await asyncio.wait_for(caller.read_response(), 10)]
+    finally:
+        caller.close()
+
+
+@then("every caller was refused as not run")
+def step_refused_not_run(context):
+    for got in context.received:
+        assert (got.status, got.end) == (503, "whole"), got
+        assert json.loads(got.body)["ran"] == "no", got
