Refuse requests whose body is incomplete when a stop ends

What callers saw: 500 'Internal Server Error' if a VM stopped while they were sending their body, written as the process was ending, and without a word on whether the request ran. Cause: the end of the grace time ended only requests that waited for a server; the others were cancelled with the event loop. Change: it ends the wait for a body as well, with 503, not run.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -138,13 +138,18 @@
             await self._send_result(exchange, attempts, admitted)
             return
         try:
-            await exchange.buffer_body()
+            with self._end_with_stop(anyio.CancelScope()) as body_scope:
+                await exchange.buffer_body()
         except CallerDisconnectedError:
             return
         except TimeoutError:
             refusal = Refusal(RefusalKind.CALLER_TOO_SLOW)
             await self._send_result(exchange, attempts, refusal)
             return
+        if body_scope.cancelled_caught:
+            refusal = Refusal(RefusalKind.VM_STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S)
+            await self._send_result(exchange, attempts, refusal)
+            return
         await self._dispatch(exchange, admitted, attempts)
 
     async def _answer_after_fault(
--- a/tests/functional/stop.feature
+++ b/tests/functional/stop.feature
@@ -42,3 +42,8 @@
     When the VM gets SIGTERM and callers ask every 100 ms, who read 300000 bytes per second through slow links
     Then every caller got its whole response or was refused as not run
     And the VM exits with code 0
+
+  Scenario: a caller whose body is still incomplete when the grace time ends is refused as not run
+    When the VM gets SIGTERM while a caller has sent half of its body
+    Then every caller was refused as not run
+    And the VM exits with code 0
