Don't end a response because its caller reads slowly, nor a stop with 500, in the own interface

Both come from the deadline of the connection to the server:

- It went on while a part of the response was sent to the caller.
The deadline now holds only while the server is awaited; a caller has 30 s for a part.
- Nothing used it at the end of a stop: a request still at work was cancelled with the event loop and answered 500 without a body (a trial on the HTTP server: 500 after the grace time).
It is now ended like one whose deadline has passed, 504, 'ran': 'unknown'; responses that have begun go on.

--- a/packages/berylbankd/src/berylbankd/_internal/application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/application.py
@@ -114,6 +114,13 @@
                 or self.entry.idempotency_claims.claim_store.pending_records
             ):
                 await anyio.sleep(DRAIN_POLL_INTERVAL_S)
+        if self.entry.running_requests:
+            logger.warning(
+                "{} requests did not finish within the grace time; ending those that wait for a"
+                " backend server",
+                self.entry.running_requests,
+            )
+            await self.entry.dispatcher.deadline_monitor.expire_unanswered()
 
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
@@ -156,6 +156,12 @@
         self.timed_out = False
         self.max_idle_ms: int | None = None
 
+    @property
+    def response_started(self) -> bool:
+        """Tell whether the head of a response has been received."""
+        responses = self.response_parser.responses
+        return bool(responses) and responses[0].head is not None
+
     @classmethod
     async def open(
         cls, address: str, now_ms: int, timeout_s: float = CONNECT_TIMEOUT_S
@@ -207,7 +213,7 @@
 
         :raises BackendConnectionError: when the connection fails or the deadline expires.
         """
-        while not self.response_parser.responses or self.response_parser.responses[0].head is None:
+        while not self.response_started:
             self.response_parser.feed(await self._receive())
         head = self.response_parser.responses[0].head
         assert head is not None
--- a/packages/berylbankd/src/berylbankd/_internal/backends/deadlines.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/deadlines.py
@@ -27,7 +27,14 @@
     async def close_expired(self) -> None:
         """Close every connection whose deadline has passed."""
         now_ms = self.clock.now_ms()
-        for connection in [c for c in self.active_connections if c.deadline_ms <= now_ms]:
+        await self._close([c for c in self.active_connections if c.deadline_ms <= now_ms])
+
+    async def expire_unanswered(self) -> None:
+        """Close every connection whose response has not begun, as if its deadline had passed."""
+        await self._close([c for c in self.active_connections if not c.response_started])
+
+    async def _close(self, connections: list[BackendConnection]) -> None:
+        for connection in connections:
             self.active_connections.discard(connection)
             connection.timed_out = True
             await connection.aclose()
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -38,6 +38,8 @@
 RETRY_CREDIT_PER_REQUEST = 0.1
 MAX_RETRY_CREDIT = 20.0
 BODY_CHUNK_TIMEOUT_S = 10.0
+# A caller that takes longer to read a chunk of its response loses its slot at the server.
+CALLER_READ_TIMEOUT_MS = 30_000
 REUSED_CONNECTION_LATENCY_FACTOR = 10
 MIN_REUSED_CONNECTION_TIMEOUT_MS = 250
 
@@ -336,7 +338,10 @@
             )
         now_ms = self.coordinator.clock.now_ms()
         connection.deadline_ms = now_ms + exchange.service.timeout_ms
-        return await connection.receive_chunk()
+        chunk = await connection.receive_chunk()
+        # The caller may take longer than the server's timeout to read the chunk.
+        connection.deadline_ms = self.coordinator.clock.now_ms() + CALLER_READ_TIMEOUT_MS
+        return chunk
 
     async def buffer_body(self, exchange: Exchange) -> None:
         """Buffer a body of up to ``MAX_BUFFERED_BODY_BYTES``, so that a retry can send it again.
