Let no further signal end a VM that starts or exits

What operators saw: a VM that gets SIGHUP while it starts, or SIGTERM once more as it exits, ends with the signal. Cause: the default actions apply before the daemon handles signals and after its event loop has ended; the last log lines are lost, and a start begins anew. Change: SIGHUP is ignored until the daemon handles it, and all signals once it no longer does. The own interface had no handler for SIGHUP at all, and ended without a drain; it logs now that a restart is needed.

--- a/packages/berylbankd/src/berylbankd/_internal/application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/application.py
@@ -21,9 +21,11 @@
 from berylbankd._internal.metrics import Metrics
 from berylbankd._internal.operators.app import OperatorApp
 from berylbankd._internal.serving import serve_http
+from berylbankd._internal.supervision import ignore_signals
 
 IDLE_CHECK_INTERVAL_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.05
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class Application:
@@ -123,9 +125,17 @@
             await self.entry.dispatcher.deadline_monitor.expire_unanswered()
 
     async def _watch_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self.stop_requested.set()
+        try:
+            with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+                async for signal_number in signals:
+                    if signal_number == signal.SIGHUP:
+                        logger.warning(
+                            "SIGHUP has no effect: restart the VM to read changed settings"
+                        )
+                    else:
+                        self.stop_requested.set()
+        finally:
+            ignore_signals(HANDLED_SIGNALS)
 
     async def _close_idle_connections(self) -> None:
         while True:
--- a/packages/berylbankd/src/berylbankd/_internal/commands/steer.py
+++ b/packages/berylbankd/src/berylbankd/_internal/commands/steer.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -15,6 +16,8 @@
 
 def run_steering(settings: Path | None = None, check: bool = False) -> int:
     """Run the daemon until SIGTERM, or only check its settings; return the exit code."""
+    # Until the daemon handles it, SIGHUP would end the process. It reads changed settings anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     import anyio
 
     # Without this the logger would create a sink on standard error, which is replaced at once.
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -43,7 +43,7 @@
 from berylbankd._internal.steering.digest_exchange import OwnState
 from berylbankd._internal.steering.directory import ReadyVm, choose_addresses
 from berylbankd._internal.steering.steering import Steering
-from berylbankd._internal.supervision import run_supervised
+from berylbankd._internal.supervision import ignore_signals, run_supervised
 
 # Callers keep the answer of a look-up at most this long, and stop using a VM that is not in the
 # next one.
@@ -53,6 +53,7 @@
 # Changes within this time are announced by the same digest.
 URGENT_DIGEST_DELAY_S = 0.02
 RUNNING_REQUESTS_CHECK_INTERVAL_S = 0.05
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # How often idle connections to backend servers are checked for closing.
 IDLE_CHECK_INTERVAL_S = 1.0
 
@@ -342,12 +343,15 @@
             )
 
     async def _watch_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for signal_number in signals:
-                if signal_number == signal.SIGHUP:
-                    self._reload()
-                else:
-                    self.stop_requested.set()
+        try:
+            with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+                async for signal_number in signals:
+                    if signal_number == signal.SIGHUP:
+                        self._reload()
+                    else:
+                        self.stop_requested.set()
+        finally:
+            ignore_signals(HANDLED_SIGNALS)
 
     async def _watch_settings(self) -> None:
         last_modified_ns = _read_modified_ns(self.settings_path)
--- a/packages/berylbankd/src/berylbankd/_internal/supervision.py
+++ b/packages/berylbankd/src/berylbankd/_internal/supervision.py
@@ -1,7 +1,8 @@
-"""Keeps the daemon's background tasks running after unexpected errors."""
+"""Keeps the daemon and its background tasks running after unexpected errors and signals."""
 
+import signal
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 from loguru import logger
@@ -11,6 +12,12 @@
 RESTART_DELAY_MAX_S = 5.0
 
 
+def ignore_signals(numbers: Iterable[signal.Signals]) -> None:
+    """Ignore signals from now on, so that none ends a process that is about to exit by itself."""
+    for number in numbers:
+        signal.signal(number, signal.SIG_IGN)
+
+
 async def run_supervised(name: str, run: Callable[[], Awaitable[None]]) -> None:
     """Run a background task until it ends or is cancelled, again after each unexpected error.
 
--- a/tests/functional/stop.feature
+++ b/tests/functional/stop.feature
@@ -47,3 +47,11 @@
     When the VM gets SIGTERM while a caller has sent half of its body
     Then every caller was refused as not run
     And the VM exits with code 0
+
+  Scenario: a VM that gets SIGTERM every millisecond until it is gone exits cleanly
+    When the VM gets SIGTERM every millisecond until it has exited
+    Then the VM exits with code 0
+
+  Scenario: a VM that gets SIGHUP while it starts goes on starting
+    When a VM is stopped, and gets SIGHUP every 50 ms while it starts again
+    Then that VM becomes ready and serves requests
--- a/tests/steps/stop_steps.py
+++ b/tests/steps/stop_steps.py
@@ -1,6 +1,7 @@
 """Steps on the stop of a VM while callers read its responses slowly."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -21,6 +22,7 @@
 SERVER_TIME_S = 0.15
 LINK_DELAY_S = 0.02
 FAST = 1e9
+INTERPRETER_START_S = 0.3
 
 
 @given("every server sends {size:d} bytes")
@@ -267,3 +269,33 @@
     for got in context.received:
         assert (got.status, got.end) == (503, "whole"), got
         assert json.loads(got.body)["ran"] == "no", got
+
+
+@when("the VM gets SIGTERM every millisecond until it has exited")
+def step_term_until_exit(context):
+    run_in_fleet(context, send_signals, context.steering.vms[2], signal.SIGTERM, 0.001)
+
+
+async def send_signals(vm, number, interval_s):
+    """Send a signal again and again until the VM's process has exited."""
+    while vm.process.returncode is None:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(vm.process.pid, number)
+        await asyncio.sleep(interval_s)
+
+
+@when("a VM is stopped, and gets SIGHUP every {ms:d} ms while it starts again")
+def step_hup_at_start(context, ms):
+    run_in_fleet(context, hup_while_starting, context, ms)
+
+
+async def hup_while_starting(context, ms):
+    vm = context.steering.vms[1]
+    os.kill(vm.process.pid, signal.SIGTERM)
+    await vm.process.wait()
+    await context.steering.start_vm(vm)
+    # The interpreter itself ends on SIGHUP until it runs the daemon's code.
+    await asyncio.sleep(INTERPRETER_START_S)
+    signals = asyncio.create_task(send_signals(vm, signal.SIGHUP, ms / 1000))
+    await context.steering.wait_ready(vm)
+    signals.cancel()
