Leave to the kernel what callers have not read at the end of a stop

What callers saw: answers cut at the end of the grace time on links that need longer than is left. Cause: the kernel goes on sending what it holds when a process has ended, but its buffers are small for connections with little room. Change: at the end the buffers of connections with unsent bytes are raised, within the kernel's own limit.

Whether a response ends its connection is now decided when it is sent, not when its request came, so that fewer requests follow on the connections of a stopping VM.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -147,6 +147,15 @@
         elif not has_input(self.transport.get_extra_info("socket").fileno()):
             self.lingering_transport.close_now()
 
+    def hand_over_to_kernel(self) -> None:
+        """Let the kernel hold as much of what is unsent as it allows."""
+        size = self.transport.get_write_buffer_size()
+        if not size:
+            return
+        connection = self.transport.get_extra_info("socket")
+        held = read_send_queue_size(connection.fileno())
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size + held)
+
     def find_undelivered(self) -> UndeliveredResponse | None:
         """Return the response of which something is still in this VM, or None."""
         complete = self.cycle is None or self.cycle.response_complete
@@ -263,7 +272,8 @@
     async def stop(self, grace_s: float) -> None:
         """Stop listening, and close each connection once the caller has its whole response.
 
-        It returns after ``grace_s`` even if callers have not read their responses by then.
+        It returns after ``grace_s`` even if callers have not read their responses by then. The
+        kernel, which goes on sending when the process has ended, then gets what it can hold.
         """
         self.prepare_stop()
         await self.stop_accepting()
@@ -272,8 +282,13 @@
             for connection in self._list_connections():
                 connection.close_if_delivered()
             if asyncio.get_running_loop().time() >= deadline_s:
-                return
+                break
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        else:
+            return
+        for connection in self._list_connections():
+            connection.hand_over_to_kernel()
+        await asyncio.sleep(STOP_POLL_INTERVAL_S)
 
     def _list_connections(self) -> list[CallerProtocol]:
         return list(cast(set[CallerProtocol], self.server_state.connections))
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -111,7 +111,6 @@
     async def _serve_request(self, scope: Any, receive: Any, send: Any) -> None:
         now_ms = self.clock.now_ms()
         exchange = CallerExchange(scope, receive, send, self.codec, now_ms)
-        exchange.close_connection = self.steering.leaving
         attempts = RequestAttempts()
         try:
             await self._serve_exchange(exchange, attempts)
@@ -295,6 +294,7 @@
         attempts: RequestAttempts,
         result: BufferedResponse | Refusal,
     ) -> None:
+        exchange.close_connection = self.steering.leaving
         if isinstance(result, Refusal):
             await exchange.send_refusal(result)
             self._log_request(exchange, attempts, result.template.status, result.kind.value)
