Soak: callers that read slowly, further signals at a stop, and requests sent before it

Responses have 150 KB now, the daemons' sockets small buffers, three callers read 200 KB/s, SIGHUP and SIGTERM follow on a SIGTERM, and a request sent before a stop and ended by it counts.

--- a/tests/environment.py
+++ b/tests/environment.py
@@ -4,7 +4,6 @@
 that steer requests. With the tag ``small_buffers`` too, their sockets have small send buffers.
 """
 
-import os
 import sys
 from contextlib import ExitStack
 from pathlib import Path
@@ -19,7 +18,7 @@
 
         context.fleet_stack, context.fleet, context.keys = open_fleet()
     if "steering" in feature.tags:
-        open_steering(context, make_environment(feature))
+        open_steering(context, "small_buffers" in feature.tags)
 
 
 def after_feature(context, feature):
@@ -35,19 +34,13 @@
         restore_steering(context)
 
 
-def make_environment(feature):
-    """Return the environment of a feature's daemons, None for that of this process."""
-    if "small_buffers" not in feature.tags:
-        return None
-    return {**os.environ, "PYTHONPATH": str(ROOT / "tests" / "support" / "small_buffers")}
-
-
-def open_steering(context, environment):
+def open_steering(context, small_buffers):
     """Start the steering daemons for a feature, run by an event loop in another thread."""
     import httpx
     from anyio.from_thread import start_blocking_portal
-    from steering_fleet import open_steering_fleet
+    from steering_fleet import SMALL_BUFFERS_ENVIRONMENT, open_steering_fleet
 
+    environment = SMALL_BUFFERS_ENVIRONMENT if small_buffers else None
     context.steering_stack = ExitStack()
     context.portal = context.steering_stack.enter_context(start_blocking_portal())
     manager = context.portal.wrap_async_context_manager(
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -7,10 +7,10 @@
 import anyio
 from behave import given, then, when
 from fleet import HOST, free_port
+from slow_links import SlowCaller, SlowProxy
 
 from berylbankd._internal import http_server
 from berylbankd._internal.http_server import HttpServer
-from tests.support.slow_links import SlowCaller, SlowProxy
 
 HEADERS = {"host": "a.example"}
 LINK_DELAY_S = 0.02
--- a/tests/steps/stop_steps.py
+++ b/tests/steps/stop_steps.py
@@ -8,13 +8,13 @@
 import time
 
 from behave import given, then, when
+from slow_links import SlowCaller, SlowProxy
 
 from tests.steps.steering_fleet_steps import (
     make_headers,
     run_in_fleet,
     send_request,
 )
-from tests.support.slow_links import SlowCaller, SlowProxy
 
 GRACE_S = 2.0
 CALLERS = 4
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -8,9 +8,13 @@
 
 import anyio
 import httpx
+from slow_links import SlowCaller
 from steering_fleet import SteeringFleet, Vm
 
 CALLER_COUNT = 6
+# Callers that read so slowly that most of a response waits in the VM.
+SLOW_CALLER_COUNT = 3
+SLOW_READ_BYTES_PER_S = 200_000.0
 PAUSE_RANGE_S = (0.01, 0.08)
 DEADLINE_MS = 3_000
 CLIENT_TIMEOUT_S = 4.0
@@ -51,18 +55,13 @@
         async with anyio.create_task_group() as group:
             for _ in range(CALLER_COUNT):
                 group.start_soon(self._run_caller)
+            for _ in range(SLOW_CALLER_COUNT):
+                group.start_soon(self._run_slow_caller)
 
     async def send(self, client: httpx.AsyncClient, vm: Vm, key: str) -> RequestRecord:
         """Send one request, a booking or a read, and record its outcome."""
         unsafe = self.rng.random() < 0.4
-        request_id = f"soak{next(self.request_numbers):08d}"
-        headers = {
-            "host": "a.example",
-            "x-key": key,
-            "x-request-id": request_id,
-            "x-deadline-ms": str(DEADLINE_MS),
-            "cookie": f"X-Affinity-Key=o{self.rng.randrange(OBJECT_COUNT)}",
-        }
+        request_id, headers = self._make_headers(key)
         method, path = ("POST", "/books/x") if unsafe else ("GET", "/reads/x")
         sent_s = time.monotonic()
         status, failure, valid = 0, "", True
@@ -82,6 +81,48 @@
         self.records.append(record)
         return record
 
+    async def send_and_read_slowly(self, vm: Vm, key: str) -> None:
+        """Send a read on a new connection, read its response slowly, and record its outcome."""
+        request_id, headers = self._make_headers(key)
+        sent_s = time.monotonic()
+        caller = SlowCaller(vm.ip, self.fleet.http_port, SLOW_READ_BYTES_PER_S)
+        status, failure, valid = 0, "", True
+        try:
+            with anyio.fail_after(CLIENT_TIMEOUT_S):
+                await caller.connect()
+                received = await caller.request("GET", "/reads/x", headers)
+            if received.end == "whole":
+                response = httpx.Response(
+                    received.status, headers=received.headers, content=received.body
+                )
+                status, valid = received.status, is_valid_response(response, request_id)
+            else:
+                failure = f"{received.end} after {len(received.body)} bytes"
+        except (OSError, TimeoutError) as error:
+            failure = type(error).__name__
+        finally:
+            caller.close()
+        ended_s = time.monotonic()
+        self.records.append(
+            RequestRecord(request_id, key, False, vm.name, sent_s, ended_s, status, failure, valid)
+        )
+
+    def _make_headers(self, key: str) -> tuple[str, dict[str, str]]:
+        request_id = f"soak{next(self.request_numbers):08d}"
+        return request_id, {
+            "host": "a.example",
+            "x-key": key,
+            "x-request-id": request_id,
+            "x-deadline-ms": str(DEADLINE_MS),
+            "cookie": f"X-Affinity-Key=o{self.rng.randrange(OBJECT_COUNT)}",
+        }
+
+    async def _run_slow_caller(self) -> None:
+        while not self.stopping:
+            vm = self.rng.choice(self.fleet.vms)
+            await self.send_and_read_slowly(vm, self.rng.choice(self.keys))
+            await anyio.sleep(self.rng.uniform(*PAUSE_RANGE_S))
+
     async def _run_caller(self) -> None:
         async with httpx.AsyncClient(
             verify=False, timeout=CLIENT_TIMEOUT_S, trust_env=False
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -11,6 +11,8 @@
 # Longest time from the acknowledgement of a change until it is in force.
 APPLY_LIMIT_S = 2.5
 DRAIN_LIMIT_S = 2.5
+# How long after the exit of a VM a caller that reads slowly may notice that its response was cut.
+CUT_NOTICED_S = 1.0
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 INTERNAL_ERROR = 500
 ALL_VMS = "any"
@@ -159,7 +161,10 @@
     reached = {arrival.request_id for arrival in evidence.arrivals}
     for stop in evidence.stops:
         for request in evidence.requests:
-            if request.vm != stop.vm or not stop.start_s <= request.sent_s <= stop.end_s:
+            # The request may have been sent before the stop, and cut by it.
+            if request.vm != stop.vm or request.sent_s > stop.end_s:
+                continue
+            if not stop.start_s <= request.ended_s <= stop.end_s + CUT_NOTICED_S:
                 continue
             cut = request.status == 0 and request.request_id in reached
             if cut and is_undisturbed(evidence, request.vm, request.sent_s, request.ended_s):
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -14,6 +14,7 @@
 from anyio.abc import TaskGroup
 from steering_fleet import (
     API_KEY,
+    SMALL_BUFFERS_ENVIRONMENT,
     SteeringFleet,
     Vm,
     free_port,
@@ -42,7 +43,10 @@
 RECOVERY_REQUESTS = 20
 # Longest time from SIGTERM to exit; more than the grace time of the fleet's settings.
 EXIT_LIMIT_S = 6.0
-WORK_MS = 20
+BEHAVIOUR = SteeredBehaviour(work_ms=20, body_bytes=150_000)
+# Signals that follow on the first SIGTERM of a stop, and the time between them.
+FURTHER_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
+SIGNAL_INTERVAL_S = 0.2
 LINK_MODES = (LinkMode.DELAY, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 
 
@@ -185,6 +189,10 @@
         vm = self._find_vm(name)
         start_s = time.monotonic()
         os.kill(vm.process.pid, signal.SIGTERM)
+        for number in FURTHER_SIGNALS:
+            await anyio.sleep(SIGNAL_INTERVAL_S)
+            if vm.process.returncode is None:
+                os.kill(vm.process.pid, number)
         with anyio.move_on_after(EXIT_LIMIT_S) as scope:
             await vm.process.wait()
         self.stops.append(GracefulStop(name, start_s, time.monotonic()))
@@ -233,7 +241,7 @@
         server = self.fleet.servers[server_id]
         server.behaviour = server.behaviour._replace(**SERVER_BEHAVIOUR_CHANGES[fault.kind])
         await anyio.sleep(fault.duration_s)
-        server.behaviour = SteeredBehaviour(work_ms=WORK_MS)
+        server.behaviour = BEHAVIOUR
         return ""
 
     async def _drain_server(self, fault: Fault, server_id: str) -> str:
@@ -302,10 +310,13 @@
 async def run_seed(seed: int, length_s: float, vms: int, servers: int, logs: Path) -> SoakResult:
     """Run one seed; keep the VMs' logs if a guarantee was violated."""
     faults = make_schedule(seed, length_s)
-    behaviour = SteeredBehaviour(work_ms=WORK_MS)
     async with anyio.create_task_group() as link_group:
         async with open_steering_fleet(
-            vms, servers, behaviour, make_store_link_opener(link_group, seed)
+            vms,
+            servers,
+            BEHAVIOUR,
+            make_store_link_opener(link_group, seed),
+            SMALL_BUFFERS_ENVIRONMENT,
         ) as fleet:
             soak = Soak(fleet, link_group, seed)
             soak.store_links = fleet.store_links
--- a/tools/steering_fleet.py
+++ b/tools/steering_fleet.py
@@ -22,6 +22,11 @@
 REGIONS = {"one-a": "one", "one-b": "one", "two-a": "two"}
 READY_TIMEOUT_S = 30.0
 API_KEY = "key-of-alder"
+# Gives the daemons' sockets small send buffers.
+SMALL_BUFFERS_ENVIRONMENT = {
+    **os.environ,
+    "PYTHONPATH": str(Path(__file__).parent / "small_buffers"),
+}
 # Opens a link from a VM to the store, given the VM's name and the store's address. The result's
 # attribute ``listen`` is the link's address.
 OpenStoreLink = Callable[[str, str], Awaitable[Any]]
