Check slow deliveries ever less often, and let no single caller decide on a stop

Found by reading the change: each slow caller cost 50 wake-ups a second, and one that reads nothing would have kept a stopping VM from starting any request for hundreds of responses. The checks come in steps of a quarter of the time so far, and a delivery counts for 1.5 s at most in the plan of a stop. A connection that is kept for a caller that still sends is closed only once its response has arrived, so that a slow reader of more than 5 s gets it too.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -25,7 +25,7 @@
 # Callers' idle connections are kept open for at least this long. Callers reuse a connection only
 # for part of the idle time that the configuration gives them.
 KEEP_ALIVE_S = 61
-# A caller that still sends when its connection is to be closed has this long to read the response.
+# How long a connection that is to be closed is kept for a caller that still sends.
 LINGER_TIMEOUT_S = 5.0
 STOP_POLL_INTERVAL_S = 0.02
 # Names under which the state of an ASGI scope holds functions that tell whether the caller is still
@@ -54,7 +54,7 @@
 
     The kernel resets a connection that is closed before all input was read, and drops what it has
     not delivered of the response. So the transport first ends its own direction only, and is closed
-    when the caller closes, or after ``LINGER_TIMEOUT_S``.
+    when the caller closes, or has its response and sends on after ``LINGER_TIMEOUT_S``.
     """
 
     def __init__(self, transport: asyncio.Transport, protocol: "CallerProtocol") -> None:
@@ -82,7 +82,7 @@
         self.lingering = True
         self.protocol.flow.resume_reading()
         self.transport.write_eof()
-        self.timer = asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.close_now)
+        self._start_timer()
 
     def close_now(self) -> None:
         """Close the connection after what was written, whether or not the caller still sends."""
@@ -90,6 +90,15 @@
             self.timer.cancel()
         self.transport.close()
 
+    def _start_timer(self) -> None:
+        self.timer = asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        if self.protocol.find_undelivered() is None:
+            self.close_now()
+        else:
+            self._start_timer()
+
 
 class CallerProtocol(HttpToolsProtocol):
     """A connection of a caller, which requests can ask whether the caller has closed it."""
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -35,9 +35,13 @@
 SERVICE_TIME_MARGIN = 1.25
 # Shorter responses leave the process at once, or fit into what a stop leaves for callers to read.
 MIN_TRACKED_BYTES = 16_384
-UNSENT_CHECK_INTERVAL_S = 0.02
+# A response is checked after this time, then after this share of the time that it has taken.
+MIN_UNSENT_CHECK_MS = 20
+UNSENT_CHECK_RATIO = 0.25
 # With each long response, the longest recent delivery falls by this factor until one takes longer.
 LONGEST_DELIVERY_DECAY = 0.99
+# One caller that hardly reads must not keep a stopping VM from starting requests.
+MAX_DELIVERY_MS = 1_500
 # Scale of the retry delays after a refusal for lack of processor time.
 OVERLOAD_RETRY_MS = 500
 
@@ -315,11 +319,13 @@
         started_ms = self.clock.now_ms()
         # The event loop sends what was written in its next pass.
         await anyio.sleep(0)
+        delivery_ms = 0
         while exchange.count_unsent_bytes():
-            await anyio.sleep(UNSENT_CHECK_INTERVAL_S)
-        self.longest_delivery_ms = max(
-            self.clock.now_ms() - started_ms, self.longest_delivery_ms * LONGEST_DELIVERY_DECAY
-        )
+            delivery_ms = self.clock.now_ms() - started_ms
+            wait_ms = max(MIN_UNSENT_CHECK_MS, delivery_ms * UNSENT_CHECK_RATIO)
+            await anyio.sleep(wait_ms / 1000)
+        longest_ms = self.longest_delivery_ms * LONGEST_DELIVERY_DECAY
+        self.longest_delivery_ms = max(min(delivery_ms, MAX_DELIVERY_MS), longest_ms)
 
     async def _relay_response(
         self, exchange: CallerExchange, response: BufferedResponse, attempts: RequestAttempts
