--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -14,6 +14,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, cast
 
+from loguru import logger
 from uvicorn.config import Config
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
@@ -312,7 +313,10 @@
     while True:
         try:
             connection, _ = listener.accept()
-        except OSError:
+        except BlockingIOError:
+            return waiting
+        except OSError as error:
+            logger.warning("connections that wait to be accepted are closed: {}", error)
             return waiting
         connection.setblocking(False)
         waiting.append(connection)
