--- a/packages/berylbankd/src/berylbankd/_internal/ingress/stop_plan.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/stop_plan.py
@@ -17,7 +17,7 @@
 # After that it refuses new requests and finishes running ones, until this share has passed.
 FINISH_GRACE_RATIO = 0.88
 # Callers read the last responses until this share of the grace time has passed.
-DELIVER_GRACE_RATIO = 0.95
+DELIVER_GRACE_RATIO = 0.92
 
 
 class StopPlan(NamedTuple):
