Take idle connections from the pool before anything is awaited

Callers got 502 for a request at which its backend server was at work, or the work ended there, if two requests had the same connection or the pool closed one that a request was using.

acquire kept the list of idle connections across the await of a close. close_unusable replaced that list meanwhile, so that a connection that acquire took from the old list was still idle in the new one. close_unusable put back connections that close_idle_to was about to close, and dropped those that were returned in between. aclose failed if a connection to a new address was returned while it ran, which ended the daemon with an error at the end of its stop.

All decisions on idle connections are now made without an await between them, and a connection leaves the pool before it is closed.

release needs no change: it awaits only the close of its own connection.

--- a/packages/berylbankd/src/berylbankd/_internal/backends/pool.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/pool.py
@@ -18,6 +18,9 @@
 class ConnectionPool:
     """Idle connections by address; the most recently used one is reused first.
 
+    A connection that is taken for a request or is to be closed leaves ``idle`` before anything is
+    awaited, so that no other task finds it there.
+
     ``idle_limits_ms`` holds the idle limits that were lowered after a stale connection, by address.
     """
 
@@ -43,16 +46,19 @@
         :raises BackendConnectionError: when a new connection can't be opened in time.
         """
         max_idle_ms = min(max_idle_ms, int(self.idle_limits_ms.get(address, max_idle_ms)))
-        idle_connections = self.idle.get(address, [])
-        while idle_connections and not force_new:
-            connection = idle_connections[-1]
-            if _is_usable(connection, now_ms) and now_ms - connection.idle_since_ms > max_idle_ms:
+        while not force_new:
+            connection = self._pop_most_recent(address)
+            if connection is None:
                 break
-            idle_connections.pop()
-            if _is_usable(connection, now_ms):
-                connection.idle_before_reuse_ms = now_ms - connection.idle_since_ms
-                return connection
-            await connection.aclose()
+            if not _is_usable(connection, now_ms):
+                await connection.aclose()
+                continue
+            idle_ms = now_ms - connection.idle_since_ms
+            if idle_ms > max_idle_ms:
+                self.idle.setdefault(address, []).append(connection)
+                break
+            connection.idle_before_reuse_ms = idle_ms
+            return connection
         return await BackendConnection.open(address, now_ms, timeout_s)
 
     def record_stale_connection(self, address: str, idle_before_reuse_ms: int) -> None:
@@ -83,25 +89,30 @@
             await connection.aclose()
 
     async def close_idle_to(self, address: str) -> None:
-        """Close all idle connections to a server, because one to it has gone silent."""
+        """Close all idle connections to a server, as they may be as dead as one that failed."""
         for connection in self.idle.pop(address, []):
             await connection.aclose()
 
     async def close_unusable(self, now_ms: int) -> None:
         """Close connections that are too old, idle for too long or closed by the server."""
-        for address, idle_connections in list(self.idle.items()):
-            usable = [c for c in idle_connections if _is_usable(c, now_ms)]
-            unusable = [c for c in idle_connections if c not in usable]
-            self.idle[address] = usable
-            for connection in unusable:
-                await connection.aclose()
+        unusable: list[BackendConnection] = []
+        for address in list(self.idle):
+            usable: list[BackendConnection] = []
+            for connection in self.idle.pop(address):
+                (usable if _is_usable(connection, now_ms) else unusable).append(connection)
+            if usable:
+                self.idle[address] = usable
+        for connection in unusable:
+            await connection.aclose()
 
     async def aclose(self) -> None:
         """Close every idle connection."""
-        for idle_connections in self.idle.values():
-            for connection in idle_connections:
-                await connection.aclose()
-        self.idle.clear()
+        for address in list(self.idle):
+            await self.close_idle_to(address)
+
+    def _pop_most_recent(self, address: str) -> BackendConnection | None:
+        idle_connections = self.idle.get(address)
+        return idle_connections.pop() if idle_connections else None
 
 
 def _is_usable(connection: BackendConnection, now_ms: int) -> bool:
