Log backend servers that are taken for silent, and what follows

The record of a request that a VM gave up told 'hung' and its duration, not how long the server had left, nor why no other server got the request. A line now names the request, its server, how long that was silent, the time left, and whether another server gets the request or why not: no server, no retry credit, no time, no attempt, body not kept, key withdrawn. It takes a token of the bucket of request lines.

No change of logic. tests/unit/ingress (12 features) passed.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -74,7 +74,7 @@
         self.codec = codec
         self.clock = clock
         self.request_log = request_log
-        self.dispatcher = Dispatcher(steering, codec, clock)
+        self.dispatcher = Dispatcher(steering, codec, clock, request_log)
         self.request_faults = RequestFaults()
         self.intake = RequestIntake(clock)
         self.running_requests = 0
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from enum import Enum
+from enum import Enum, StrEnum
 from typing import NamedTuple
 
 import anyio
@@ -30,6 +30,7 @@
     ResponseMetadata,
 )
 from berylbankd._internal.ingress.exchange import CallerDisconnectedError, CallerExchange
+from berylbankd._internal.ingress.request_log import RequestLog, SilenceRecord
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 from berylbankd._internal.steering.picks import Pick, PickRequest
 from berylbankd._internal.steering.steering import Steering
@@ -69,6 +70,20 @@
     SERVER_ERROR = "server error"
 
 
+class RetryDenial(StrEnum):
+    """Why a request is not sent to another server; the values appear in the log."""
+
+    KEY_WITHDRAWN = "key withdrawn"
+    ATTEMPTS_USED = "no attempt left"
+    MAY_HAVE_RUN = "it may have run"
+    BODY_NOT_KEPT = "body not kept"
+    NO_TIME = "no time"
+    NO_CREDIT = "no retry credit"
+    NO_SERVER = "no server"
+
+
+# What the log says if a request is sent to another server.
+RETRIED = "sent to another server"
 FAILURES_WITHOUT_RUN = frozenset(
     {AttemptFailure.NOT_SENT, AttemptFailure.NOT_RUN, AttemptFailure.MISDIRECTED}
 )
@@ -102,7 +117,8 @@
     only while it is certain that no server ran the request. ``server_error_response`` is the last
     server error, which the caller gets if no attempt succeeds. ``unread_connection`` is the one
     from which the rest of a long response is still to be received, and ``buffered_bytes`` the size
-    of the responses that are kept in memory.
+    of the responses that are kept in memory. ``silent_server`` is the id of a server that the last
+    attempt gave up, and ``silent_ms`` how long it was silent.
     """
 
     def __init__(self) -> None:
@@ -113,6 +129,8 @@
         self.last_failure: AttemptFailure | None = None
         self.unread_connection: BackendConnection | None = None
         self.buffered_bytes = 0
+        self.silent_server = ""
+        self.silent_ms = 0
 
 
 class Dispatcher:
@@ -123,10 +141,13 @@
     ``stopping`` is set, no attempt ends because of its server's silence.
     """
 
-    def __init__(self, steering: Steering, codec: HeaderCodec, clock: Clock) -> None:
+    def __init__(
+        self, steering: Steering, codec: HeaderCodec, clock: Clock, request_log: RequestLog
+    ) -> None:
         self.steering = steering
         self.codec = codec
         self.clock = clock
+        self.request_log = request_log
         self.connection_pool = ConnectionPool()
         self.total_buffered_bytes = 0
         self.hang_scopes: dict[anyio.CancelScope, float] = {}
@@ -157,9 +178,11 @@
         """
         for attempt in range(max(1, pick_request.route.max_attempts)):
             if not self._is_key_valid(exchange):
-                return self._make_result_after_withdrawal(attempts)
+                denial: RetryDenial | None = RetryDenial.KEY_WITHDRAWN
+                break
             if attempt:
-                if not self._may_retry(exchange, pick_request, deadline_ms, attempts):
+                denial = self._find_denial(exchange, pick_request, deadline_ms, attempts)
+                if denial is not None:
                     break
                 await self._discard_unread_response(attempts)
             pick_request = pick_request._replace(
@@ -167,7 +190,9 @@
             )
             pick = self.steering.pick(pick_request, self.clock.now_ms())
             if pick is None:
+                denial = RetryDenial.NO_SERVER
                 break
+            self._log_silence(exchange, deadline_ms, attempts, RETRIED)
             organisation = exchange.organisation.name if exchange.organisation else None
             dispatch_metadata = DispatchMetadata(
                 pick.server.registration.id, pick_request.remaining_ms, organisation
@@ -178,6 +203,9 @@
             if outcome.response is not None and outcome.failure is None:
                 return outcome.response
             self._record_failure(pick, outcome, attempts)
+        else:
+            denial = RetryDenial.ATTEMPTS_USED
+        self._log_silence(exchange, deadline_ms, attempts, denial or RETRIED)
         if not self._is_key_valid(exchange):
             return self._make_result_after_withdrawal(attempts)
         return self._make_final_result(pick_request.service, attempts)
@@ -228,24 +256,49 @@
         if outcome.response is not None:
             attempts.server_error_response = outcome.response
 
-    def _may_retry(
+    def _log_silence(
+        self,
+        exchange: CallerExchange,
+        deadline_ms: int,
+        attempts: RequestAttempts,
+        next_step: str,
+    ) -> None:
+        """Log that the last attempt's server was silent, if it was, and what follows."""
+        if not attempts.silent_server:
+            return
+        self.request_log.record_silence(
+            SilenceRecord(
+                exchange.metadata.request_id.decode("latin-1"),
+                exchange.route.name if exchange.route is not None else "",
+                attempts.silent_server,
+                attempts.silent_ms,
+                deadline_ms - self.clock.now_ms(),
+                next_step,
+            )
+        )
+        attempts.silent_server = ""
+
+    def _find_denial(
         self,
         exchange: CallerExchange,
         pick_request: PickRequest,
         deadline_ms: int,
         attempts: RequestAttempts,
-    ) -> bool:
+    ) -> RetryDenial | None:
+        """Return why a request must not be sent again; if it may, spend retry credit for it."""
         if attempts.may_have_run and not pick_request.route.kind.idempotent:
-            return False
+            return RetryDenial.MAY_HAVE_RUN
         if not exchange.body_replayable:
-            return False
+            return RetryDenial.BODY_NOT_KEPT
         remaining_ms = deadline_ms - self.clock.now_ms()
         if remaining_ms < pick_request.route.objective_ms * MIN_RETRY_TIME_FRACTION:
-            return False
-        return (
-            attempts.last_failure is AttemptFailure.NOT_SENT
-            or self.steering.retry_budget(pick_request.service).take()
-        )
+            return RetryDenial.NO_TIME
+        if (
+            attempts.last_failure is not AttemptFailure.NOT_SENT
+            and not self.steering.retry_budget(pick_request.service).take()
+        ):
+            return RetryDenial.NO_CREDIT
+        return None
 
     def _make_final_result(
         self, service: str, attempts: RequestAttempts
@@ -391,9 +444,14 @@
                 self.connection_pool.record_stale_connection(
                     pick.server.registration.address, connection.idle_before_reuse_ms
                 )
-            self._record_broken(pick_request, pick, failure.reason, started_ms)
+            reason = failure.reason
+            if connection.reused:
+                reason += f" on a connection that was idle for {connection.idle_before_reuse_ms} ms"
+            self._record_broken(pick_request, pick, reason, started_ms)
             return AttemptOutcome(failure=AttemptFailure.BROKEN)
         except TimeoutError:
+            attempts.silent_server = pick.server.registration.id
+            attempts.silent_ms = self.clock.now_ms() - started_ms
             self._record_broken(pick_request, pick, "no response in time", started_ms)
             # The server may have dropped its idle connections too.
             await self.connection_pool.close_idle_to(pick.server.registration.address)
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/request_log.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/request_log.py
@@ -1,4 +1,4 @@
-"""Writes a log line and updates the metrics for each request."""
+"""Writes a log line and updates the metrics for each request, and logs silent servers."""
 
 import time
 from typing import NamedTuple
@@ -28,6 +28,21 @@
     configuration: int
 
 
+class SilenceRecord(NamedTuple):
+    """A backend server that was silent for as long as a request waits before it is retried.
+
+    ``waited_ms`` is how long it was silent, ``remaining_ms`` the time until the request's deadline;
+    ``next`` tells whether another server gets the request, or why not.
+    """
+
+    request_id: str
+    route: str
+    server: str
+    waited_ms: int
+    remaining_ms: int
+    next: str
+
+
 class RequestLog:
     """Records the outcome of each request in the metrics and in the log."""
 
@@ -50,3 +65,10 @@
         if self.log_writer.take_request_line_token(not is_served):
             level = "INFO" if is_served else "WARNING"
             self.log_writer.enqueue_line(time.time(), level, "request", record._asdict())
+
+    def record_silence(self, record: SilenceRecord) -> None:
+        """Queue a line on a silent server if the rate limit of the log allows it."""
+        if self.log_writer.take_request_line_token(priority=True):
+            self.log_writer.enqueue_line(
+                time.time(), "WARNING", "backend server is silent", record._asdict()
+            )
--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -44,10 +44,11 @@
 
 
 class CountingRequestLog:
-    """Counts faults and discards records."""
+    """Counts faults and discards records; keeps those on silent servers."""
 
     def __init__(self):
         self.faults = 0
+        self.silences = []
 
     def count_fault(self):
         self.faults += 1
@@ -55,6 +56,9 @@
     def record(self, record):
         pass
 
+    def record_silence(self, record):
+        self.silences.append(record)
+
 
 class AdmittingRateLimiter:
     """Admits every request."""
