Log a server of the own interface that is taken for silent, and what follows

The own interface wrote no line about a request that it gave up after a guess, so 504 `deadline` at the service's timeout and 504 long before it looked alike. A line now states the request id, the server, how long it was silent, how much of the service's timeout was left, and the next server or why there is none. No change of logic.

--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -28,6 +28,7 @@
     states_not_run,
 )
 from berylbankd._internal.entry.routes import extract_route_name
+from berylbankd._internal.entry.silence_log import ServerSilence, SilenceLog
 from berylbankd._internal.entry.slot_allocator import SlotAllocator
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 
@@ -63,11 +64,13 @@
 class AttemptOutcome(NamedTuple):
     """How an attempt ended: with a response (``refusal`` is None), or refused.
 
-    ``retryable`` is set if the request may be sent again.
+    ``retryable`` is set if the request may be sent again, ``silence`` if the server was taken for
+    silent.
     """
 
     refusal: Refusal | None = None
     retryable: bool = False
+    silence: ServerSilence | None = None
 
     def merge_earlier(self, earlier: Refusal | None) -> Refusal | None:
         """Return this attempt's refusal, merged with the refusal of the earlier attempts.
@@ -110,6 +113,7 @@
         self.connection_pool = ConnectionPool()
         self.retry_budget = RetryBudget()
         self.deadline_monitor = DeadlineMonitor(coordinator.clock)
+        self.silence_log = SilenceLog()
 
     async def dispatch(self, exchange: Exchange) -> Refusal | None:
         """Send the response to the caller, or return a refusal if none could be started.
@@ -121,20 +125,34 @@
         self.retry_budget.record_request()
         tried_backends: frozenset[str] = frozenset()
         refusal: Refusal | None = None
+        silence: ServerSilence | None = None
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self.retry_budget.take_retry():
+                self._log_silence(exchange, silence, "none: no retry credit is left")
                 break
             slot_pool = await self._acquire_slot(exchange, tried_backends)
             if slot_pool is None:
+                self._log_silence(exchange, silence, "none: no server has a free slot")
                 refusal = refusal or Refusal(RefusalKind.NO_SLOT)
                 break
+            self._log_silence(exchange, silence, slot_pool.backend.name)
             outcome = await self._attempt_and_release_slot(exchange, slot_pool)
+            silence = outcome.silence
             refusal = outcome.merge_earlier(refusal)
             if refusal is None or not outcome.retryable:
                 break
             tried_backends |= {slot_pool.backend.name}
+        else:
+            self._log_silence(exchange, silence, "none: all attempts were made")
         return refusal
 
+    def _log_silence(
+        self, exchange: Exchange, silence: ServerSilence | None, next_attempt: str
+    ) -> None:
+        if silence is not None:
+            now_ms = self.coordinator.clock.now_ms()
+            self.silence_log.write(exchange.request_id, silence, next_attempt, now_ms)
+
     async def _acquire_slot(
         self, exchange: Exchange, tried_backends: frozenset[str]
     ) -> SlotPool | None:
@@ -233,7 +251,15 @@
             now_ms = self.coordinator.clock.now_ms()
             if self._may_be_stale_connection(exchange, connection):
                 await self.connection_pool.close_idle_to(slot_pool.backend.address)
-                return AttemptOutcome(Refusal(RefusalKind.DEADLINE, Ran.UNKNOWN), retryable=True)
+                silence = None
+                if failure.reason == DEADLINE_REASON:
+                    waited_ms = now_ms - started_ms
+                    silence = ServerSilence(
+                        slot_pool.backend.name, waited_ms, timeout_ms - waited_ms
+                    )
+                return AttemptOutcome(
+                    Refusal(RefusalKind.DEADLINE, Ran.UNKNOWN), retryable=True, silence=silence
+                )
             slot_pool.health.record_failure(now_ms)
             self._record_shift_sample(exchange, slot_pool, True, now_ms - started_ms)
             return self._make_failed_outcome(exchange, connection, failure)
