--- a/packages/berylbankd/src/berylbankd/_internal/backends/deadlines.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/deadlines.py
@@ -13,8 +13,7 @@
 
     The task that uses such a connection gets a :class:`BackendConnectionError`.
 
-    ``silence_limits_ms`` holds the cancel scopes of waits for a response, and the time at which each
-    is cancelled.
+    ``silence_limits_ms`` holds the cancel scopes of waits for responses, and when to cancel each.
     """
 
     def __init__(self, clock: Clock) -> None:
