Make a second attempt beside a silent server of the own interface, not in its place

Callers of a slow server (queued or cold) on a reused connection got 504 `deadline` after 250 ms to a third of the service's timeout, another server's 500, or a later answer, though their server was at work and had time. Cause: the timeout for a connection that may have died without a word closed the connection of a server that was merely slow.

Now the timeout only starts further attempts, in a race: the attempt at the silent server goes on with its slot and its connection, the first success ends the others, and a server error counts only if nothing else succeeds. A failure of an attempt is followed by the next as before. Where no slot or retry credit is left, the first attempt runs until the service's timeout. A withdrawn key ends the race as before; bookings never race. A request is given a task group only once its server is silent; a reused connection costs a cancel scope, which the existing check every 50 ms cancels.

A connection that the server closed is reported as 502 backend_failed, no longer as 504 deadline. A real timeout on a reused connection counts in the server's health and in shift samples, as it does on a new one. A body over 64 KiB goes on a new connection, as it can't be sent again.

Steps: the whole dispatch is run where a single attempt was, with the same checks.

--- a/packages/berylbankd/src/berylbankd/_internal/backends/deadlines.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/deadlines.py
@@ -12,18 +12,29 @@
     """Closes connections whose deadline has expired.
 
     The task that uses such a connection gets a :class:`BackendConnectionError`.
+
+    ``silence_limits_ms`` holds the cancel scopes of waits for responses, and when to cancel each.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.active_connections: set[BackendConnection] = set()
+        self.silence_limits_ms: dict[anyio.CancelScope, int] = {}
 
     async def run(self) -> None:
         """Check the deadlines periodically until cancelled."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
+            self.cancel_silent()
             await self.close_expired()
 
+    def cancel_silent(self) -> None:
+        """Cancel every wait for a server that is silent for too long."""
+        now_ms = self.clock.now_ms()
+        for scope, limit_ms in self.silence_limits_ms.items():
+            if limit_ms <= now_ms:
+                scope.cancel()
+
     async def close_expired(self) -> None:
         """Close every connection whose deadline has passed."""
         now_ms = self.clock.now_ms()
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import AsyncIterator
-from typing import NamedTuple
 
 import anyio
 
@@ -20,6 +19,13 @@
 from berylbankd._internal.backends.pool import ConnectionPool
 from berylbankd._internal.backends.slots import SlotPool
 from berylbankd._internal.coordinator import Coordinator
+from berylbankd._internal.entry.attempts import (
+    Attempt,
+    AttemptOutcome,
+    Race,
+    RequestAttempts,
+    RetryBudget,
+)
 from berylbankd._internal.entry.exchange import Exchange
 from berylbankd._internal.entry.filters import RequestFilters
 from berylbankd._internal.entry.headers import (
@@ -35,9 +41,6 @@
 MAX_ATTEMPTS = 3
 MAX_BUFFERED_BODY_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Each retry costs 1 credit.
-RETRY_CREDIT_PER_REQUEST = 0.1
-MAX_RETRY_CREDIT = 20.0
 BODY_CHUNK_TIMEOUT_S = 10.0
 # A caller that takes longer to read a chunk of its response loses its slot at the server.
 CALLER_READ_TIMEOUT_MS = 30_000
@@ -61,48 +64,6 @@
     """The response can't be completed, so the caller's connection must be aborted."""
 
 
-class AttemptOutcome(NamedTuple):
-    """How an attempt ended: with a response (``refusal`` is None), or refused.
-
-    ``retryable`` is set if the request may be sent again, ``silence`` if the server was taken for
-    silent.
-    """
-
-    refusal: Refusal | None = None
-    retryable: bool = False
-    silence: ServerSilence | None = None
-
-    def merge_earlier(self, earlier: Refusal | None) -> Refusal | None:
-        """Return this attempt's refusal, merged with the refusal of the earlier attempts.
-
-        If the request may have run in an earlier attempt, the merged refusal states so.
-        """
-        if self.refusal is None or earlier is None or earlier.ran is Ran.NO:
-            return self.refusal
-        return self.refusal._replace(ran=earlier.ran)
-
-
-ANSWERED = AttemptOutcome()
-
-
-class RetryBudget:
-    """Limits retries to a fraction of the requests, so that they don't amplify an overload."""
-
-    def __init__(self) -> None:
-        self.credit = MAX_RETRY_CREDIT
-
-    def record_request(self) -> None:
-        """Add the retry credit of one request."""
-        self.credit = min(MAX_RETRY_CREDIT, self.credit + RETRY_CREDIT_PER_REQUEST)
-
-    def take_retry(self) -> bool:
-        """Spend credit for one retry; return False if there is too little."""
-        if self.credit < 1:
-            return False
-        self.credit -= 1
-        return True
-
-
 class Dispatcher:
     """Sends admitted requests to backend servers and relays the responses."""
 
@@ -123,35 +84,58 @@
         :raises IncompleteResponseError: when the response failed after it was started.
         """
         self.retry_budget.record_request()
-        tried_backends: frozenset[str] = frozenset()
-        refusal: Refusal | None = None
-        silence: ServerSilence | None = None
-        for attempt in range(MAX_ATTEMPTS):
-            if attempt and not self.retry_budget.take_retry():
-                self._log_silence(exchange, silence, "none: no retry credit is left")
-                break
-            slot_pool = await self._acquire_slot(exchange, tried_backends)
-            if slot_pool is None:
-                self._log_silence(exchange, silence, "none: no server has a free slot")
-                refusal = refusal or Refusal(RefusalKind.NO_SLOT)
-                break
-            self._log_silence(exchange, silence, slot_pool.backend.name)
-            outcome = await self._attempt_and_release_slot(exchange, slot_pool)
-            silence = outcome.silence
-            refusal = outcome.merge_earlier(refusal)
-            if refusal is None or not outcome.retryable:
+        attempts = RequestAttempts()
+        try:
+            attempt = await self._find_response(exchange, attempts)
+            if attempt is None:
+                return attempts.refusal
+            await self._relay_response(exchange, attempt)
+            self._record_response(exchange, attempt)
+            attempt.reusable = True
+            return None
+        finally:
+            await self._end_attempts(exchange, attempts)
+
+    async def _find_response(self, exchange: Exchange, attempts: RequestAttempts) -> Attempt | None:
+        """Try one backend server after the other until one responds.
+
+        Return None if none does; ``attempts.refusal`` then states why.
+        """
+        while (slot_pool := await self._acquire_next_slot(exchange, attempts)) is not None:
+            outcome = await self._attempt(exchange, attempts, slot_pool)
+            if outcome.attempt is not None:
+                return outcome.attempt
+            attempts.record_failure(outcome, slot_pool.backend.name)
+            if not outcome.retryable:
                 break
-            tried_backends |= {slot_pool.backend.name}
-        else:
-            self._log_silence(exchange, silence, "none: all attempts were made")
-        return refusal
+        return None
+
+    async def _acquire_next_slot(
+        self, exchange: Exchange, attempts: RequestAttempts
+    ) -> SlotPool | None:
+        """Take a slot for the next attempt; return None if there is none, or no attempt is left."""
+        if attempts.made >= MAX_ATTEMPTS:
+            self._log_silence(exchange, attempts, "none: all attempts were made")
+            return None
+        if attempts.made and not self.retry_budget.take_retry():
+            self._log_silence(exchange, attempts, "none: no retry credit is left")
+            return None
+        slot_pool = await self._acquire_slot(exchange, attempts.tried_backends)
+        if slot_pool is None:
+            self._log_silence(exchange, attempts, "none: no server has a free slot")
+            attempts.refusal = attempts.refusal or Refusal(RefusalKind.NO_SLOT)
+            return None
+        attempts.made += 1
+        self._log_silence(exchange, attempts, slot_pool.backend.name)
+        return slot_pool
 
     def _log_silence(
-        self, exchange: Exchange, silence: ServerSilence | None, next_attempt: str
+        self, exchange: Exchange, attempts: RequestAttempts, next_attempt: str
     ) -> None:
-        if silence is not None:
+        if attempts.silence is not None:
             now_ms = self.coordinator.clock.now_ms()
-            self.silence_log.write(exchange.request_id, silence, next_attempt, now_ms)
+            self.silence_log.write(exchange.request_id, attempts.silence, next_attempt, now_ms)
+            attempts.silence = None
 
     async def _acquire_slot(
         self, exchange: Exchange, tried_backends: frozenset[str]
@@ -177,107 +161,230 @@
             )
         return slot_pool
 
-    async def _attempt_and_release_slot(
-        self, exchange: Exchange, slot_pool: SlotPool
+    async def _attempt(
+        self, exchange: Exchange, attempts: RequestAttempts, slot_pool: SlotPool
     ) -> AttemptOutcome:
-        assert exchange.service is not None
-        try:
-            return await self._attempt_on_backend(exchange, slot_pool)
-        finally:
-            self.slot_allocator.release_slot(exchange.service, slot_pool)
+        """Send the request to one backend server and wait for the head of its response.
 
-    async def _attempt_on_backend(self, exchange: Exchange, slot_pool: SlotPool) -> AttemptOutcome:
+        If the server is silent, the outcome may be that of an attempt beside it.
+        """
+        attempt = Attempt(slot_pool)
+        attempts.running.append(attempt)
+        outcome = await self._connect_and_send(exchange, attempts, attempt)
+        if outcome.attempt is not attempt:
+            await self._end_attempt(exchange, attempts, attempt)
+        return outcome
+
+    async def _connect_and_send(
+        self, exchange: Exchange, attempts: RequestAttempts, attempt: Attempt
+    ) -> AttemptOutcome:
         assert exchange.service is not None
         now_ms = self.coordinator.clock.now_ms
-        address = slot_pool.backend.address
-        force_new = not exchange.idempotent or bool(exchange.tried_backends)
+        backend = attempt.slot_pool.backend
+        # A long body can't be sent again if the server has dropped a reused connection.
+        force_new = (
+            not exchange.idempotent
+            or bool(exchange.tried_backends)
+            or len(exchange.body) > MAX_BUFFERED_BODY_BYTES
+        )
         try:
-            connection = await self.connection_pool.acquire(address, now_ms(), force_new=force_new)
+            connection = await self.connection_pool.acquire(
+                backend.address, now_ms(), force_new=force_new
+            )
         except BackendConnectionError:
-            slot_pool.health.record_failure(now_ms())
+            attempt.slot_pool.health.record_failure(now_ms())
             return AttemptOutcome(Refusal(RefusalKind.NO_BACKEND), retryable=True)
-        started_ms = now_ms()
-        exchange.tried_backends += (slot_pool.backend.name,)
-        connection.deadline_ms = started_ms + self._response_timeout_ms(
-            exchange, slot_pool, connection
-        )
+        attempt.connection = connection
+        attempt.started_ms = now_ms()
+        exchange.tried_backends += (backend.name,)
+        if attempts.deadline_ms is None:
+            attempts.deadline_ms = attempt.started_ms + exchange.service.timeout_ms
+        connection.deadline_ms = attempts.deadline_ms
         self.deadline_monitor.active_connections.add(connection)
-        reusable = False
+        if not self.request_filters.may_still_run(exchange):
+            return AttemptOutcome(self.request_filters.make_revocation_refusal(exchange))
+        remaining_ms = attempts.deadline_ms - attempt.started_ms
+        if remaining_ms <= 0:
+            return AttemptOutcome(Refusal(RefusalKind.DEADLINE))
+        headers = make_backend_request_headers(exchange, backend.address, remaining_ms)
+        body = None if exchange.body_complete and not exchange.body else self._stream_body(exchange)
         try:
-            if not self.request_filters.may_still_run(exchange):
-                return AttemptOutcome(self.request_filters.make_revocation_refusal(exchange))
-            outcome = await self._send_and_relay(exchange, slot_pool, connection, started_ms)
-            reusable = (
-                outcome is ANSWERED or outcome.refusal is not None and outcome.refusal.ran is Ran.NO
-            )
-            return outcome
-        finally:
-            self.deadline_monitor.active_connections.discard(connection)
-            if reusable:
-                await self.connection_pool.release(address, connection, now_ms())
-            else:
-                await connection.aclose()
+            await connection.send_request(exchange.method.encode(), exchange.target, headers, body)
+            head = await self._receive_head_unless_silent(exchange, attempt, connection)
+        except BackendConnectionError as failure:
+            return await self._handle_failure(exchange, attempt, connection, failure)
+        if head is None:
+            return await self._race(exchange, attempts, attempt, connection)
+        return await self._handle_head(exchange, attempt, connection, head)
 
-    def _response_timeout_ms(
-        self, exchange: Exchange, slot_pool: SlotPool, connection: BackendConnection
-    ) -> int:
-        """Return how long to wait for the head of the response.
+    async def _receive_head_unless_silent(
+        self, exchange: Exchange, attempt: Attempt, connection: BackendConnection
+    ) -> ResponseHead | None:
+        """Return the head of the response, or None if the server is silent for too long.
 
-        The server may have dropped a reused connection without closing it. On such a connection,
-        an idempotent request gets a short timeout, which leaves time for a retry on a new one.
+        The server may have dropped a reused connection without closing it.
         """
+        if not self._may_be_stale_connection(exchange, connection):
+            return await connection.receive_head()
+        limit_ms = attempt.started_ms + self._silence_timeout_ms(exchange, attempt.slot_pool)
+        with anyio.CancelScope() as scope:
+            self.deadline_monitor.silence_limits_ms[scope] = limit_ms
+            try:
+                return await connection.receive_head()
+            finally:
+                del self.deadline_monitor.silence_limits_ms[scope]
+        return None
+
+    def _silence_timeout_ms(self, exchange: Exchange, slot_pool: SlotPool) -> int:
+        """Return after how long a server that has not responded is taken for silent."""
         assert exchange.service is not None
-        timeout_ms = exchange.service.timeout_ms
-        if not connection.request_count or not exchange.idempotent or not exchange.body_complete:
-            return timeout_ms
         expected_ms = int(REUSED_CONNECTION_LATENCY_FACTOR * slot_pool.health.latency_ms)
-        return min(timeout_ms // MAX_ATTEMPTS, max(MIN_REUSED_CONNECTION_TIMEOUT_MS, expected_ms))
+        return min(
+            exchange.service.timeout_ms // MAX_ATTEMPTS,
+            max(MIN_REUSED_CONNECTION_TIMEOUT_MS, expected_ms),
+        )
 
-    async def _send_and_relay(
+    async def _race(
         self,
         exchange: Exchange,
-        slot_pool: SlotPool,
+        attempts: RequestAttempts,
+        first: Attempt,
         connection: BackendConnection,
-        started_ms: int,
     ) -> AttemptOutcome:
-        assert exchange.service is not None
-        timeout_ms = exchange.service.timeout_ms
-        headers = make_backend_request_headers(exchange, slot_pool.backend.address, timeout_ms)
-        body = None if exchange.body_complete and not exchange.body else self._stream_body(exchange)
+        """Make further attempts beside that at a silent server, which may still be at work.
+
+        The first success ends the race. A server error counts only if nothing else succeeds.
+        """
+        backend = first.slot_pool.backend
+        now_ms = self.coordinator.clock.now_ms()
+        attempts.silence = ServerSilence(
+            backend.name, now_ms - first.started_ms, connection.deadline_ms - now_ms
+        )
+        attempts.tried_backends |= {backend.name}
+        await self.connection_pool.close_idle_to(backend.address)
+        async with anyio.create_task_group() as group:
+            race = Race(first, connection, group.cancel_scope)
+            group.start_soon(self._await_silent_server, exchange, attempts, race)
+            other = await self._find_response(exchange, attempts)
+            race.others_ended = True
+            if other is not None:
+                self._add_response(exchange, race, other)
+            if self._is_decided(attempts, other):
+                race.cancel_scope.cancel()
+        self._log_silence(exchange, attempts, "none: the server responded")
+        chosen = race.choose_response()
+        await self._end_attempts(exchange, attempts, kept=chosen)
+        if chosen is not None:
+            return AttemptOutcome(attempt=chosen)
+        if race.first_failure is not None:
+            return AttemptOutcome(attempts.refusal, race.first_failure.retryable)
+        assert attempts.refusal is not None
+        return AttemptOutcome(attempts.refusal._replace(ran=Ran.UNKNOWN))
+
+    async def _await_silent_server(
+        self, exchange: Exchange, attempts: RequestAttempts, race: Race
+    ) -> None:
+        first, connection = race.first, race.connection
         try:
-            await connection.send_request(exchange.method.encode(), exchange.target, headers, body)
             head = await connection.receive_head()
+            outcome = await self._handle_head(exchange, first, connection, head)
         except BackendConnectionError as failure:
+            outcome = await self._handle_failure(exchange, first, connection, failure)
+        if outcome.attempt is not None:
+            self._add_response(exchange, race, first)
+        else:
+            # The further attempts replace this one, unless they have ended.
+            retryable = outcome.retryable and race.others_ended
+            race.first_failure = outcome._replace(retryable=retryable)
+            await self._end_attempt(exchange, attempts, first)
+            attempts.record_failure(outcome, first.slot_pool.backend.name)
+        if first.succeeded or connection.timed_out:
+            race.cancel_scope.cancel()
+
+    def _is_decided(self, attempts: RequestAttempts, other: Attempt | None) -> bool:
+        """Tell whether the further attempts make it useless to wait for the silent server."""
+        if other is not None:
+            return other.succeeded
+        return attempts.refusal is not None and attempts.refusal.kind is RefusalKind.KEY_WITHDRAWN
+
+    def _add_response(self, exchange: Exchange, race: Race, attempt: Attempt) -> None:
+        """Keep a response while the race goes on."""
+        assert exchange.service is not None and attempt.connection is not None
+        attempt.connection.deadline_ms += exchange.service.timeout_ms
+        race.responses.append(attempt)
+
+    async def _end_attempts(
+        self, exchange: Exchange, attempts: RequestAttempts, kept: Attempt | None = None
+    ) -> None:
+        """End every running attempt except ``kept``."""
+        for attempt in tuple(attempts.running):
+            if attempt is kept:
+                continue
+            if kept is not None and attempt.head is not None:
+                self._record_response(exchange, attempt)
+            await self._end_attempt(exchange, attempts, attempt)
+
+    async def _end_attempt(
+        self, exchange: Exchange, attempts: RequestAttempts, attempt: Attempt
+    ) -> None:
+        """Release the connection and the slot of an attempt, unless this was done before."""
+        assert exchange.service is not None
+        if attempt not in attempts.running:
+            return
+        attempts.running.remove(attempt)
+        connection = attempt.connection
+        try:
+            if connection is None:
+                return
+            self.deadline_monitor.active_connections.discard(connection)
+            if attempt.reusable:
+                now_ms = self.coordinator.clock.now_ms()
+                address = attempt.slot_pool.backend.address
+                await self.connection_pool.release(address, connection, now_ms)
+            else:
+                await connection.aclose()
+        finally:
+            self.slot_allocator.release_slot(exchange.service, attempt.slot_pool)
+
+    async def _handle_head(
+        self,
+        exchange: Exchange,
+        attempt: Attempt,
+        connection: BackendConnection,
+        head: ResponseHead,
+    ) -> AttemptOutcome:
+        if states_not_run(head.status, head.headers):
+            attempt.reusable = True
+            return await self._handle_shed(exchange, attempt.slot_pool, connection)
+        attempt.head = head
+        return AttemptOutcome(attempt=attempt)
+
+    async def _handle_failure(
+        self,
+        exchange: Exchange,
+        attempt: Attempt,
+        connection: BackendConnection,
+        failure: BackendConnectionError,
+    ) -> AttemptOutcome:
+        slot_pool = attempt.slot_pool
+        if failure.reason != DEADLINE_REASON and self._may_be_stale_connection(
+            exchange, connection
+        ):
+            await self.connection_pool.close_idle_to(slot_pool.backend.address)
+        else:
             now_ms = self.coordinator.clock.now_ms()
-            if self._may_be_stale_connection(exchange, connection):
-                await self.connection_pool.close_idle_to(slot_pool.backend.address)
-                silence = None
-                if failure.reason == DEADLINE_REASON:
-                    waited_ms = now_ms - started_ms
-                    silence = ServerSilence(
-                        slot_pool.backend.name, waited_ms, timeout_ms - waited_ms
-                    )
-                return AttemptOutcome(
-                    Refusal(RefusalKind.DEADLINE, Ran.UNKNOWN), retryable=True, silence=silence
-                )
             slot_pool.health.record_failure(now_ms)
-            self._record_shift_sample(exchange, slot_pool, True, now_ms - started_ms)
-            return self._make_failed_outcome(exchange, connection, failure)
-        if states_not_run(head.status, head.headers):
-            return await self._handle_shed(exchange, slot_pool, connection)
-        await self._relay_response(exchange, slot_pool, connection, head)
-        self._record_response(exchange, slot_pool, head, started_ms)
-        return ANSWERED
+            self._record_shift_sample(exchange, slot_pool, True, now_ms - attempt.started_ms)
+        return self._make_failed_outcome(exchange, connection, failure)
 
-    def _record_response(
-        self, exchange: Exchange, slot_pool: SlotPool, head: ResponseHead, started_ms: int
-    ) -> None:
+    def _record_response(self, exchange: Exchange, attempt: Attempt) -> None:
         now_ms = self.coordinator.clock.now_ms()
-        self._record_shift_sample(exchange, slot_pool, head.status >= 500, now_ms - started_ms)
-        if head.status >= 500:
-            slot_pool.health.record_failure(now_ms)
+        slot_pool, latency_ms = attempt.slot_pool, now_ms - attempt.started_ms
+        self._record_shift_sample(exchange, slot_pool, not attempt.succeeded, latency_ms)
+        if attempt.succeeded:
+            slot_pool.health.record_success(latency_ms)
         else:
-            slot_pool.health.record_success(now_ms - started_ms)
+            slot_pool.health.record_failure(now_ms)
 
     def _may_be_stale_connection(self, exchange: Exchange, connection: BackendConnection) -> bool:
         """Tell whether the cause may be a stale reused connection rather than the server."""
@@ -312,13 +419,9 @@
             await connection.aclose()
         return AttemptOutcome(Refusal(RefusalKind.NO_SLOT), retryable=exchange.body_replayable)
 
-    async def _relay_response(
-        self,
-        exchange: Exchange,
-        slot_pool: SlotPool,
-        connection: BackendConnection,
-        head: ResponseHead,
-    ) -> None:
+    async def _relay_response(self, exchange: Exchange, attempt: Attempt) -> None:
+        head, connection = attempt.head, attempt.connection
+        assert head is not None and connection is not None
         headers = make_caller_response_headers(
             head.headers, exchange.request_id, self.coordinator.node.leaving
         )
@@ -332,7 +435,7 @@
                     await self._relay_chunks_until_disconnect(exchange, connection, next_chunk)
                     chunk = b""
         except BackendConnectionError as error:
-            slot_pool.health.record_failure(self.coordinator.clock.now_ms())
+            attempt.slot_pool.health.record_failure(self.coordinator.clock.now_ms())
             raise IncompleteResponseError(str(error)) from None
         await exchange.finish_response(chunk or b"")
 
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -5,7 +5,8 @@
 
 from berylbankd._internal.backends.connection import BackendConnection, BackendConnectionError
 from berylbankd._internal.backends.health import BackendHealth
-from berylbankd._internal.entry.dispatch import AttemptOutcome, Dispatcher, RetryBudget
+from berylbankd._internal.entry.attempts import AttemptOutcome, RetryBudget
+from berylbankd._internal.entry.dispatch import Dispatcher
 from berylbankd._internal.entry.exchange import Exchange
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 
@@ -35,7 +36,7 @@
     async def _acquire_slot(self, _exchange, tried_backends):
         return FakeSlotPool(f"server-{len(tried_backends)}") if self.outcomes else None
 
-    async def _attempt_and_release_slot(self, _exchange, _pool):
+    async def _attempt(self, _exchange, _attempts, _pool):
         return ATTEMPTS[self.outcomes.pop(0)]
 
 
--- a/tests/steps/response_deadline_steps.py
+++ b/tests/steps/response_deadline_steps.py
@@ -9,6 +9,7 @@
 from berylbankd._internal.backends.deadlines import DeadlineMonitor
 from berylbankd._internal.backends.health import BackendHealth
 from berylbankd._internal.backends.pool import ConnectionPool
+from berylbankd._internal.entry.attempts import RetryBudget
 from berylbankd._internal.entry.dispatch import Dispatcher, IncompleteResponseError
 from berylbankd._internal.entry.exchange import Exchange
 
@@ -48,6 +49,13 @@
         dispatcher.deadline_monitor = DeadlineMonitor(clock)
         backend = SimpleNamespace(address=f"127.0.0.1:{port}", name="server-0")
         pool = SimpleNamespace(backend=backend, health=BackendHealth())
+        dispatcher.retry_budget = RetryBudget()
+        dispatcher.slot_allocator = SimpleNamespace(release_slot=lambda *_: None)
+
+        async def acquire_slot(*_):
+            return pool
+
+        dispatcher._acquire_slot = acquire_slot
         scope = {"method": "GET", "path": "/desk/x", "raw_path": b"/desk/x", "query_string": b""}
         exchange = Exchange({**scope, "headers": []}, anyio.sleep_forever, self._send, 0)
         exchange.service = self.service
@@ -58,7 +66,7 @@
                 if act is not None:
                     group.start_soon(act)
                 try:
-                    self.result = await dispatcher._attempt_on_backend(exchange, pool)
+                    self.result = await dispatcher.dispatch(exchange)
                 except IncompleteResponseError as error:
                     self.result = error
                 group.cancel_scope.cancel()
@@ -127,5 +135,5 @@
 
 @then('the request is refused with "{kind}", and "ran" set to "{ran}"')
 def step_refused_with(context, kind, ran):
-    refusal = context.run.result.refusal
+    refusal = context.run.result
     assert (refusal.kind.value, refusal.ran.value) == (kind, ran), refusal
--- a/tests/steps/silent_server_steps.py
+++ b/tests/steps/silent_server_steps.py
@@ -106,12 +106,11 @@
         self.results = []
         self.left_over = {}
 
-    def run(self, method, cancel_after_ms=None, withdraw_after_ms=None):
-        anyio.run(
-            self._run, method, cancel_after_ms, withdraw_after_ms, backend_options={"use_uvloop": 1}
-        )
+    def run(self, method, cancel_after_ms=None, withdraw_after_ms=None, expire_after_ms=None):
+        times = cancel_after_ms, withdraw_after_ms, expire_after_ms
+        anyio.run(self._run, method, *times, backend_options={"use_uvloop": True})
 
-    async def _run(self, method, cancel_after_ms, withdraw_after_ms):
+    async def _run(self, method, cancel_after_ms, withdraw_after_ms, expire_after_ms):
         with anyio.fail_after(TEST_LIMIT_S):
             async with anyio.create_task_group() as group:
                 await self.first.start(group)
@@ -124,6 +123,8 @@
                 await self.prepare(group)
                 if withdraw_after_ms is not None:
                     group.start_soon(self.withdraw_key, withdraw_after_ms)
+                if expire_after_ms is not None:
+                    group.start_soon(self.expire_unanswered, expire_after_ms)
                 started_ms = self.clock.now_ms()
                 with anyio.move_on_after(cancel_after_ms and cancel_after_ms / 1000):
                     await self.dispatch(method)
@@ -190,6 +191,10 @@
         await anyio.sleep(after_ms / 1000)
         self.key_valid = False
 
+    async def expire_unanswered(self, after_ms):
+        await anyio.sleep(after_ms / 1000)
+        await self.dispatcher.deadline_monitor.expire_unanswered()
+
     async def dispatch(self, method):
         scope = {"method": method, "path": "/desk/x", "raw_path": b"/desk/x", "query_string": b""}
         exchange = Exchange({**scope, "headers": []}, anyio.sleep_forever, self.send, 0)
@@ -265,6 +270,11 @@
     context.run.run("POST")
 
 
+@when("the grace time of a stop ends {ms:d} ms after a caller has sent a lookup")
+def step_grace_ends(context, ms):
+    context.run.run("GET", expire_after_ms=ms)
+
+
 @when("a caller's request is cancelled after {ms:d} ms")
 def step_cancel(context, ms):
     context.run.run("GET", cancel_after_ms=ms)
@@ -285,6 +295,12 @@
     assert 1 not in context.run.first.broken_off, context.run.first.broken_off
 
 
+@then("one success of the {name} server is recorded")
+def step_recorded(context, name):
+    recorded = [failed for backend, _, failed, *_ in context.run.results if backend.name == name]
+    assert recorded == [False], context.run.results
+
+
 @then("the caller gets the answer of the other server within {ms:d} ms")
 def step_other_answer(context, ms):
     assert context.run.answer == (200, "other", None), context.run.answer
--- a/tests/unit/entry/silent_servers.feature
+++ b/tests/unit/entry/silent_servers.feature
@@ -8,6 +8,7 @@
     When a caller sends a lookup
     Then the caller gets the answer of the first server
     And the first server was not broken off while it worked on the caller's first attempt
+    And one success of the first server is recorded
     And no slot, connection or task is left over
 
     Examples:
@@ -26,6 +27,7 @@
     And a second server that answers in 0 ms
     When a caller sends a lookup
     Then the caller gets the answer of the other server within 1000 ms
+    And one success of the other server is recorded
     And no slot, connection or task is left over
 
   Scenario: two silent servers end a request at the service's timeout and not later
@@ -61,6 +63,14 @@
     Then the caller gets status 500 from the other server
     And no slot, connection or task is left over
 
+  Scenario: two attempts that still run when the grace time of a stop ends are answered as one that may have run
+    Given a service with a timeout of 6000 ms and a first server that has answered on a connection
+    And the first server is silent from now on
+    And a second server that is silent
+    When the grace time of a stop ends 700 ms after a caller has sent a lookup
+    Then the caller is refused with "deadline" and "ran" set to "unknown" within 1500 ms
+    And no slot, connection or task is left over
+
   Scenario: a caller that leaves while two attempts run leaves nothing behind
     Given a service with a timeout of 3000 ms and a first server that has answered on a connection
     And the first server is silent from now on
