Soak: rolling restarts of a fleet whose servers are queued, cold and slow

Counts, by phase of the restart, the requests that a VM ended itself while a server was at work on them.

--- a/packages/berylbank-standins/src/berylbank_standins/_internal/steered_backend.py
+++ b/packages/berylbank-standins/src/berylbank_standins/_internal/steered_backend.py
@@ -4,6 +4,8 @@
 """
 
 import json
+import math
+import random
 import time
 from collections import Counter, OrderedDict
 from typing import Any, NamedTuple
@@ -14,6 +16,8 @@
 
 QUEUE_LENGTH_PER_SLOT = 3
 MAX_WARM_OBJECTS = 24
+# A server that keeps to the deadlines of requests responds this long before them.
+DEADLINE_MARGIN_S = 0.2
 
 
 class SteeredBehaviour(NamedTuple):
@@ -24,6 +28,10 @@
     ``truncate`` closes the connection in the middle of a response, ``extra`` is meant to send a
     second response but is not implemented, ``hang`` never responds, ``shed`` responds that the
     request was not executed, ``wrong_server`` responds that the address is another server's.
+    ``slow_share`` of the requests take ``slow_ms`` instead. For ``cold_s`` after the start of the
+    server, all times are multiplied by ``cold_factor``. With ``keep_deadlines`` the server responds
+    before the deadline of a request, or says in time that it did not execute it. ``silent_share`` of
+    the requests are never responded to, as if the connection had died.
     """
 
     slots: int = 8
@@ -36,6 +44,25 @@
     hang: bool = False
     shed: bool = False
     wrong_server: bool = False
+    slow_share: float = 0.0
+    slow_ms: int = 0
+    cold_s: float = 0.0
+    cold_factor: float = 1.0
+    keep_deadlines: bool = False
+    silent_share: float = 0.0
+
+
+class WorkRecord(NamedTuple):
+    """The time that a request spent at a server, in seconds of the monotonic clock.
+
+    ``state`` is "done" or "truncated" if the server responded, "refused" if it did not execute the
+    request after all; "queued", "running" or "silent" if its connection was closed before.
+    """
+
+    request_id: str
+    arrived_s: float
+    ended_s: float
+    state: str
 
 
 class SteeredBackend:
@@ -45,6 +72,7 @@
     of each request that was queued or run, and beside them its method, path, body and time of
     arrival as the entries ``method``, ``path``, ``body`` and ``arrived``. ``arrived`` counts
     requests, ``cancelled`` those whose caller disconnected while they were queued or run.
+    ``work_records`` has an entry for each request that was queued or run and has ended.
     """
 
     def __init__(self, server_id: str, behaviour: SteeredBehaviour) -> None:
@@ -56,6 +84,14 @@
         self.warm_objects: OrderedDict[str, None] = OrderedDict()
         self.arrived = 0
         self.cancelled = 0
+        self.work_records: list[WorkRecord] = []
+        self.rng = random.Random(server_id)
+        self.started_s = time.monotonic()
+
+    def restart(self) -> None:
+        """Become cold, with no object handled recently."""
+        self.started_s = time.monotonic()
+        self.warm_objects.clear()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one HTTP request."""
@@ -82,15 +118,44 @@
 
     async def _run_request(self, headers: dict[str, str], receive: Any, send: Any) -> None:
         self.received_headers.append(headers)
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._cancel_on_disconnect, receive, group.cancel_scope)
-            async with self.slots:
-                self.run_counts[headers["x-request-id"]] += 1
-                await anyio.sleep(self._work_ms(headers.get("cookie", "")) / 1000)
-                if self.behaviour.hang:
-                    await anyio.sleep_forever()
-                await self._respond(headers, send)
-            group.cancel_scope.cancel()
+        states = ["queued"]
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._cancel_on_disconnect, receive, group.cancel_scope)
+                await self._work(headers, send, states)
+                group.cancel_scope.cancel()
+        finally:
+            arrived_s, ended_s = float(headers["arrived"]), time.monotonic()
+            self.work_records.append(
+                WorkRecord(headers["x-request-id"], arrived_s, ended_s, states[-1])
+            )
+
+    async def _work(self, headers: dict[str, str], send: Any, states: list[str]) -> None:
+        """Wait for a slot and run a request; append each state that it enters to ``states``."""
+        latest_s = anyio.current_time() + int(headers.get("x-deadline-ms", "0")) / 1000
+        latest_s = latest_s - DEADLINE_MARGIN_S if self.behaviour.keep_deadlines else math.inf
+        if self.rng.random() < self.behaviour.silent_share:
+            states.append("silent")
+            await anyio.sleep_forever()
+        try:
+            with anyio.fail_after(latest_s - anyio.current_time()):
+                await self.slots.acquire()
+        except TimeoutError:
+            states.append("refused")
+            echoed = [(b"x-request-id", headers["x-request-id"].encode())]
+            await self._send_response(send, 503, [*echoed, (b"x-not-executed", b"1")], b"")
+            return
+        try:
+            states.append("running")
+            self.run_counts[headers["x-request-id"]] += 1
+            work_s = self._work_ms(headers.get("cookie", "")) / 1000
+            await anyio.sleep(min(work_s, latest_s - anyio.current_time()))
+            if self.behaviour.hang:
+                await anyio.sleep_forever()
+            states.append("truncated" if self.behaviour.truncate else "done")
+            await self._respond(headers, send)
+        finally:
+            self.slots.release()
 
     async def _cancel_on_disconnect(self, receive: Any, scope: anyio.CancelScope) -> None:
         while (await receive())["type"] != "http.disconnect":
@@ -104,7 +169,11 @@
         self.warm_objects.move_to_end(object_key)
         while len(self.warm_objects) > MAX_WARM_OBJECTS:
             self.warm_objects.popitem(last=False)
-        return self.behaviour.work_ms * (self.behaviour.warm_factor if warm else 1.0)
+        work_ms = self.behaviour.work_ms * (self.behaviour.warm_factor if warm else 1.0)
+        if self.rng.random() < self.behaviour.slow_share:
+            work_ms = self.behaviour.slow_ms
+        is_cold = time.monotonic() < self.started_s + self.behaviour.cold_s
+        return work_ms * (self.behaviour.cold_factor if is_cold else 1.0)
 
     async def _respond(self, headers: dict[str, str], send: Any) -> None:
         slot_usage = self.slots.statistics()
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -18,6 +18,8 @@
 PAUSE_RANGE_S = (0.01, 0.08)
 DEADLINE_MS = 3_000
 CLIENT_TIMEOUT_S = 4.0
+# Timeout of the routes to which the callers send.
+ROUTE_TIMEOUT_S = 2.0
 OBJECT_COUNT = 30
 
 
@@ -25,7 +27,8 @@
     """One request and its outcome.
 
     ``status`` is 0 and ``failure`` names the client's exception if no complete response arrived.
-    Times are those of the monotonic clock.
+    ``signed`` tells whether the response is a backend server's. Times are those of the monotonic
+    clock.
     """
 
     request_id: str
@@ -37,10 +40,14 @@
     status: int
     failure: str
     valid: bool
+    signed: bool = False
 
 
 class Callers:
-    """Sends requests to all VMs until :attr:`stopping` is set."""
+    """Sends requests to all VMs until :attr:`stopping` is set.
+
+    ``unsafe_share`` of them are bookings and ``download_share`` downloads, the others reads.
+    """
 
     def __init__(self, fleet: SteeringFleet, keys: tuple[str, ...], seed: int) -> None:
         self.fleet = fleet
@@ -49,6 +56,8 @@
         self.request_numbers = itertools.count()
         self.records: list[RequestRecord] = []
         self.stopping = False
+        self.unsafe_share, self.download_share = 0.4, 0.0
+        self.object_count = OBJECT_COUNT
 
     async def run(self) -> None:
         """Send requests until :attr:`stopping` is set, then wait for the last responses."""
@@ -59,12 +68,15 @@
                 group.start_soon(self._run_slow_caller)
 
     async def send(self, client: httpx.AsyncClient, vm: Vm, key: str) -> RequestRecord:
-        """Send one request, a booking or a read, and record its outcome."""
-        unsafe = self.rng.random() < 0.4
+        """Send one request of a random kind, and record its outcome."""
+        drawn = self.rng.random()
+        unsafe = drawn < self.unsafe_share
         request_id, headers = self._make_headers(key)
         method, path = ("POST", "/books/x") if unsafe else ("GET", "/reads/x")
+        if not unsafe and drawn < self.unsafe_share + self.download_share:
+            path = "/files/x"
         sent_s = time.monotonic()
-        status, failure, valid = 0, "", True
+        status, failure, valid, signed = 0, "", True, False
         try:
             response = await client.request(
                 method,
@@ -73,10 +85,12 @@
                 content=b"a booking" if unsafe else None,
             )
             status, valid = response.status_code, is_valid_response(response, request_id)
+            signed = "x-server-signature" in response.headers
         except httpx.HTTPError as error:
             failure = type(error).__name__
+        ended_s = time.monotonic()
         record = RequestRecord(
-            request_id, key, unsafe, vm.name, sent_s, time.monotonic(), status, failure, valid
+            request_id, key, unsafe, vm.name, sent_s, ended_s, status, failure, valid, signed
         )
         self.records.append(record)
         return record
@@ -86,7 +100,7 @@
         request_id, headers = self._make_headers(key)
         sent_s = time.monotonic()
         caller = SlowCaller(vm.ip, self.fleet.http_port, SLOW_READ_BYTES_PER_S)
-        status, failure, valid = 0, "", True
+        status, failure, valid, signed = 0, "", True, False
         try:
             with anyio.fail_after(CLIENT_TIMEOUT_S):
                 await caller.connect()
@@ -96,6 +110,7 @@
                     received.status, headers=received.headers, content=received.body
                 )
                 status, valid = received.status, is_valid_response(response, request_id)
+                signed = "x-server-signature" in received.headers
             else:
                 failure = f"{received.end} after {len(received.body)} bytes"
         except (OSError, TimeoutError) as error:
@@ -104,7 +119,9 @@
             caller.close()
         ended_s = time.monotonic()
         self.records.append(
-            RequestRecord(request_id, key, False, vm.name, sent_s, ended_s, status, failure, valid)
+            RequestRecord(
+                request_id, key, False, vm.name, sent_s, ended_s, status, failure, valid, signed
+            )
         )
 
     def _make_headers(self, key: str) -> tuple[str, dict[str, str]]:
@@ -114,7 +131,7 @@
             "x-key": key,
             "x-request-id": request_id,
             "x-deadline-ms": str(DEADLINE_MS),
-            "cookie": f"X-Affinity-Key=o{self.rng.randrange(OBJECT_COUNT)}",
+            "cookie": f"X-Affinity-Key=o{self.rng.randrange(self.object_count)}",
         }
 
     async def _run_slow_caller(self) -> None:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -1,10 +1,11 @@
 """Checks of the daemon's guarantees on what callers and backend servers recorded in a soak."""
 
-from collections import Counter
-from collections.abc import Iterable
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from soak.callers import RequestRecord
+from berylbank_standins._internal.steered_backend import WorkRecord
+from soak.callers import DEADLINE_MS, ROUTE_TIMEOUT_S, RequestRecord
 
 # Time limits apply to a VM only if it has not been disturbed for this long.
 SETTLE_S = 4.0
@@ -15,15 +16,42 @@
 CUT_NOTICED_S = 1.0
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 INTERNAL_ERROR = 500
+MIN_FAILURE_STATUS = 500
+# VMs and callers count in whole milliseconds, which may end a wait this much early.
+CLOCK_ROUNDING_S = 0.002
+# What still runs in this last part of the grace time may be ended, if it was sent no later than
+# ``LATE_REQUEST_S`` after SIGTERM.
+LAST_GRACE_SHARE = 1 / 6
+LATE_REQUEST_S = 3.0
+AT_WORK_STATES = frozenset({"queued", "running", "done"})
 ALL_VMS = "any"
 
 
 class Disturbance(NamedTuple):
-    """A period in which time limits do not apply to a VM, or to any VM if it is ``ALL_VMS``."""
+    """A period in which time limits do not apply to a VM, or to any VM if it is ``ALL_VMS``.
+
+    ``halted`` tells whether its process was killed or paused.
+    """
 
     vm: str
     start_s: float
     end_s: float
+    halted: bool = False
+
+
+class LinkReset(NamedTuple):
+    """A period in which the connections to a backend server were reset."""
+
+    server: str
+    start_s: float
+    end_s: float
+
+
+class ServerWork(NamedTuple):
+    """What a backend server recorded of one request."""
+
+    server: str
+    record: WorkRecord
 
 
 class Arrival(NamedTuple):
@@ -49,6 +77,7 @@
     vm: str
     start_s: float
     end_s: float
+    grace_s: float = 2.0
 
 
 class Evidence(NamedTuple):
@@ -61,6 +90,8 @@
     withdrawn_keys: list[AcknowledgedChange]
     drained_servers: list[AcknowledgedChange]
     stops: list[GracefulStop]
+    work: Sequence[ServerWork] = ()
+    link_resets: Sequence[LinkReset] = ()
 
 
 def find_violations(evidence: Evidence) -> list[str]:
@@ -74,6 +105,7 @@
         check_withdrawn_keys,
         check_drained_servers,
         check_graceful_stops,
+        check_ended_at_work,
     )
     return [line for check in checks for line in check(evidence)]
 
@@ -173,6 +205,77 @@
                 yield f"{request.request_id} was cut by the stop of {request.vm}: {request.failure}"
 
 
+def check_ended_at_work(evidence: Evidence) -> Iterable[str]:
+    """Check that no VM ends a request by an answer of its own while a server is at work on it."""
+    for request, work in find_ended_at_work(evidence):
+        answer = request.status or request.failure
+        yield (
+            f"{request.request_id} got {answer} from {request.vm} after"
+            f" {request.ended_s - request.sent_s:.2f} s, but was {work.record.state} at {work.server}"
+        )
+
+
+def find_ended_at_work(evidence: Evidence) -> Iterable[tuple[RequestRecord, ServerWork]]:
+    """Yield the requests that a VM ended itself, with a server that was at work on it.
+
+    Excused are those whose deadline or route's timeout was reached, that their server broke off,
+    that still ran in the last part of the grace time, and those at a process that was killed or
+    paused.
+    """
+    work_of_request: dict[str, list[ServerWork]] = defaultdict(list)
+    for work in evidence.work:
+        if work.record.state in AT_WORK_STATES:
+            work_of_request[work.record.request_id].append(work)
+    wait_s = min(DEADLINE_MS / 1000, ROUTE_TIMEOUT_S) - CLOCK_ROUNDING_S
+    for request in evidence.requests:
+        ended_by_vm = not request.signed and (
+            request.status == 0
+            or request.status >= MIN_FAILURE_STATUS
+            or request.status in NOT_RUN_STATUSES
+        )
+        if not ended_by_vm or request.ended_s >= request.sent_s + wait_s:
+            continue
+        if is_halted(evidence, request) or is_ended_by_stop(evidence, request):
+            continue
+        for work in work_of_request[request.request_id]:
+            if not is_reset(evidence, request, work):
+                yield request, work
+                break
+
+
+def is_halted(evidence: Evidence, request: RequestRecord) -> bool:
+    """Tell whether the process of a request's VM was killed or paused shortly before its end."""
+    return any(
+        disturbance.halted
+        and disturbance.vm == request.vm
+        and disturbance.start_s <= request.ended_s
+        and disturbance.end_s >= request.sent_s - SETTLE_S
+        for disturbance in evidence.disturbances
+    )
+
+
+def is_ended_by_stop(evidence: Evidence, request: RequestRecord) -> bool:
+    """Tell whether a request ended in the last part of the grace time, and was sent early enough."""
+    return any(
+        stop.vm == request.vm
+        and request.sent_s <= stop.start_s + LATE_REQUEST_S
+        and request.sent_s <= stop.end_s
+        and stop.start_s + stop.grace_s * (1 - LAST_GRACE_SHARE) <= request.ended_s
+        and request.ended_s <= stop.end_s + CUT_NOTICED_S
+        for stop in evidence.stops
+    )
+
+
+def is_reset(evidence: Evidence, request: RequestRecord, work: ServerWork) -> bool:
+    """Tell whether the connection to a server was reset while a request was there."""
+    return any(
+        reset.server == work.server
+        and reset.start_s <= request.ended_s
+        and reset.end_s >= work.record.arrived_s
+        for reset in evidence.link_resets
+    )
+
+
 def is_undisturbed(evidence: Evidence, vm: str, start_s: float, end_s: float) -> bool:
     """Tell whether a VM was not disturbed from ``SETTLE_S`` before a start time to an end time."""
     return not any(
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -31,6 +31,8 @@
     Disturbance,
     Evidence,
     GracefulStop,
+    LinkReset,
+    ServerWork,
     find_violations,
 )
 from soak.proxy import LinkMode, LinkProxy
@@ -47,6 +49,8 @@
 # Signals that follow on the first SIGTERM of a stop, and the time between them.
 FURTHER_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 SIGNAL_INTERVAL_S = 0.2
+# Faults after which a process does not run for a time.
+HALTING_KINDS = (FaultKind.VM_KILL, FaultKind.VM_PAUSE)
 LINK_MODES = (LinkMode.DELAY, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 
 
@@ -77,6 +81,7 @@
         self.withdrawn_keys: list[AcknowledgedChange] = []
         self.drained_servers: list[AcknowledgedChange] = []
         self.stops: list[GracefulStop] = []
+        self.link_resets: list[LinkReset] = []
         self.version = 1
         self.spare_key_withdrawn = False
         self.faulty_targets: set[str] = set()
@@ -135,6 +140,12 @@
             self.withdrawn_keys,
             self.drained_servers,
             self.stops,
+            [
+                ServerWork(server_id, record)
+                for server_id, server in self.fleet.servers.items()
+                for record in server.work_records
+            ],
+            self.link_resets,
         )
 
     async def _wait_recovered(self, client: httpx.AsyncClient, vm: Vm) -> None:
@@ -156,7 +167,8 @@
         finally:
             self.faulty_targets.discard(target)
             if vm:
-                self.disturbances.append(Disturbance(vm, start_s, time.monotonic()))
+                halted = fault.kind in HALTING_KINDS
+                self.disturbances.append(Disturbance(vm, start_s, time.monotonic(), halted))
 
     def _target_name(self, fault: Fault) -> str:
         if fault.kind.value.startswith("vm") or fault.kind is FaultKind.STORE_LINK:
@@ -219,7 +231,10 @@
         return name
 
     async def _disturb_server_link(self, fault: Fault, server_id: str) -> str:
+        start_s = time.monotonic()
         await self._disturb_link(self.server_links[server_id], fault)
+        if LINK_MODES[fault.link_mode_number % len(LINK_MODES)] is LinkMode.RESET:
+            self.link_resets.append(LinkReset(server_id, start_s, time.monotonic()))
         return ""
 
     async def _disturb_link(self, link: LinkProxy, fault: Fault) -> None:
--- a/tools/steering_fleet.py
+++ b/tools/steering_fleet.py
@@ -21,6 +21,7 @@
 HOST = "127.0.0.1"
 REGIONS = {"one-a": "one", "one-b": "one", "two-a": "two"}
 READY_TIMEOUT_S = 30.0
+GRACE_S = 2.0
 API_KEY = "key-of-alder"
 # Gives the daemons' sockets small send buffers.
 SMALL_BUFFERS_ENVIRONMENT = {
@@ -39,7 +40,7 @@
 ephemeralPorts = [{first_port}, {last_port}]
 seeds = []
 bootstrap = {bootstrap}
-bounds = ["graceS=2", "drainS=2.5", "configApplyS=2.5"]
+bounds = ["graceS={grace_s}", "drainS=2.5", "configApplyS=2.5"]
 [zones]
 {zones}
 [listen]
@@ -54,7 +55,7 @@
 
 
 def make_configuration(version: int = 1, **limits: Any) -> dict[str, Any]:
-    """Return the operator's configuration: a safe, an unsafe and a public route."""
+    """Return the operator's configuration: four routes of one service."""
     columns = ["name", "host", "prefix", "kind", "timeoutS", "targetLatencyS", "priority"]
     columns += ["maxAttempts", "public", "sticky", "allowedRegions", "service"]
     organisation = {"ratePerS": 20_000, "burst": 20_000, **limits}
@@ -66,6 +67,20 @@
                 ["reads", "a.example", "/reads/", "safe", 2, 0.5, 2, 2, False, True, [], "desk"],
                 ["books", "a.example", "/books/", "unsafe", 2, 0.5, 1, 2, False, True, [], "desk"],
                 ["open", "a.example", "/open/", "safe", 1, 0.5, 2, 2, True, False, [], "desk"],
+                [
+                    "files",
+                    "a.example",
+                    "/files/",
+                    "download",
+                    2,
+                    0.5,
+                    2,
+                    2,
+                    False,
+                    True,
+                    [],
+                    "desk",
+                ],
             ],
         },
         "services": {
@@ -94,7 +109,7 @@
     """The row store, the backend servers and the VMs.
 
     Every VM has its own loopback address and the same ports. ``environment`` is that of the
-    daemons, None for the environment of this process.
+    daemons, None for the environment of this process; ``grace_s`` is their grace time.
     """
 
     def __init__(
@@ -103,8 +118,10 @@
         folder: Path,
         open_store_link: OpenStoreLink | None = None,
         environment: dict[str, str] | None = None,
+        grace_s: float = GRACE_S,
     ) -> None:
         self.group = group
+        self.grace_s = grace_s
         self.environment = environment
         self.open_store_link = open_store_link
         self.store_links: dict[str, Any] = {}
@@ -180,6 +197,7 @@
             SETTINGS.format(
                 name=vm.name,
                 ip=vm.ip,
+                grace_s=self.grace_s,
                 failure_domain=vm.failure_domain,
                 region=REGIONS[vm.failure_domain],
                 first_port=self.peer_port,
@@ -253,11 +271,12 @@
     behaviour: SteeredBehaviour | None = None,
     open_store_link: OpenStoreLink | None = None,
     environment: dict[str, str] | None = None,
+    grace_s: float = GRACE_S,
 ) -> AsyncIterator[SteeringFleet]:
     """Run a fleet for the duration of the context."""
     with tempfile.TemporaryDirectory() as folder:
         async with anyio.create_task_group() as group:
-            fleet = SteeringFleet(group, Path(folder), open_store_link, environment)
+            fleet = SteeringFleet(group, Path(folder), open_store_link, environment, grace_s)
             try:
                 await fleet.start(vms, servers, behaviour or SteeredBehaviour())
                 yield fleet
