Tests, failing: the read's scenario no longer depends on which server is first

Now the VM is started before the first server is looked up, and in the read's scenario every server is slow.

--- a/tests/functional/steering.feature
+++ b/tests/functional/steering.feature
@@ -33,20 +33,18 @@
       | hangs                     |
 
   # Issue 40: reads ended as hung while their servers were at work.
-  Scenario: a read whose server is at work gets its answer from a VM that has just started
-    Given the first server of object 7 works for 1700 ms
-    And every other server sheds every request
-    When a VM gets SIGTERM and is started again
-    And a caller reads object 7
-    Then the caller gets the answer of that server
-    And the request was not broken off at the server
+  Scenario: a read whose server is at work gets its answer though all others are slow too
+    Given a VM got SIGTERM and has just started again
+    And every server takes 1700 ms for a request
+    When a caller reads object 7
+    Then the caller gets the answer of the server that got the request first
 
   Scenario: a download whose server is at work gets its answer though no other has room
-    Given the first server of object 7 works for 1700 ms
+    Given a VM got SIGTERM and has just started again
+    And the first server of object 7 works for 1700 ms
     And every other server sheds every request
     When a caller downloads object 7
-    Then the caller gets the answer of that server
-    And the request was not broken off at the server
+    Then the caller gets the answer of the server that got the request first
 
   Scenario: a booking that may have run is not retried
     Given the first server of object 7 truncates its responses
--- a/tests/steps/steering_fleet_steps.py
+++ b/tests/steps/steering_fleet_steps.py
@@ -85,7 +85,7 @@
     server.behaviour = server.behaviour._replace(**FAULTS[fault])
 
 
-@when("a VM gets SIGTERM and is started again")
+@given("a VM got SIGTERM and has just started again")
 def step_stop_and_start(context):
     vm = context.steering.vms[0]
     os.kill(vm.process.pid, signal.SIGTERM)
@@ -99,19 +99,18 @@
     send_request(context, "GET", "/files/x", make_headers(context, object_key))
 
 
-@then("the caller gets the answer of that server")
+@then("the caller gets the answer of the server that got the request first")
 def step_served_by_first(context):
-    assert context.response.status_code == 200, context.response.text
-    assert context.response.headers["x-server-signature"] == f"signed-{context.first_server}"
-
-
-@then("the request was not broken off at the server")
-def step_not_broken_off(context):
-    server = context.steering.servers[context.first_server]
-    states = [
-        record.state for record in server.work_records if record.request_id == context.request_id
+    records = [
+        (record.arrived_s, server_id, record.state)
+        for server_id, server in context.steering.servers.items()
+        for record in server.work_records
+        if record.request_id == context.request_id
     ]
-    assert states == ["done"], states
+    assert context.response.status_code == 200, (context.response.text, records)
+    _, server_id, state = min(records)
+    assert context.response.headers["x-server-signature"] == f"signed-{server_id}"
+    assert state == "done", records
 
 
 async def put_entry(context, server_id):
