--- a/packages/berylbank-standins/src/berylbank_standins/_internal/steered_backend.py
+++ b/packages/berylbank-standins/src/berylbank_standins/_internal/steered_backend.py
@@ -30,8 +30,8 @@
     request was not executed, ``wrong_server`` responds that the address is another server's.
     ``slow_share`` of the requests take ``slow_ms`` instead. For ``cold_s`` after the start of the
     server, all times are multiplied by ``cold_factor``. With ``keep_deadlines`` the server responds
-    before the deadline of a request, or says in time that it did not execute it. It never responds
-    to ``silent_share`` of the requests, as if their connections had died.
+    before the deadline of a request, or states that it did not execute it. ``silent_share`` of the
+    requests never get a response, as if their connections had died.
     """
 
     slots: int = 8
@@ -137,25 +137,21 @@
         if self.rng.random() < self.behaviour.silent_share:
             states.append("silent")
             await anyio.sleep_forever()
-        try:
-            with anyio.fail_after(latest_s - anyio.current_time()):
-                await self.slots.acquire()
-        except TimeoutError:
-            states.append("refused")
-            echoed = [(b"x-request-id", headers["x-request-id"].encode())]
-            await self._send_response(send, 503, [*echoed, (b"x-not-executed", b"1")], b"")
-            return
-        try:
+        async with self.slots:
+            remaining_s = latest_s - anyio.current_time()
+            if remaining_s <= 0:
+                states.append("refused")
+                echoed = [(b"x-request-id", headers["x-request-id"].encode())]
+                await self._send_response(send, 503, [*echoed, (b"x-not-executed", b"1")], b"")
+                return
             states.append("running")
             self.run_counts[headers["x-request-id"]] += 1
             work_s = self._work_ms(headers.get("cookie", "")) / 1000
-            await anyio.sleep(min(work_s, latest_s - anyio.current_time()))
+            await anyio.sleep(min(work_s, remaining_s))
             if self.behaviour.hang:
                 await anyio.sleep_forever()
             states.append("truncated" if self.behaviour.truncate else "done")
             await self._respond(headers, send)
-        finally:
-            self.slots.release()
 
     async def _cancel_on_disconnect(self, receive: Any, scope: anyio.CancelScope) -> None:
         while (await receive())["type"] != "http.disconnect":
--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -38,6 +38,7 @@
 # Callers that were refused wait longer, as the response tells them.
 REFUSED_PAUSE_S = 0.4
 LAG_INTERVAL_S = 0.02
+LATE_S = 0.1
 DOWNLOAD_SHARE, UNSAFE_SHARE = 0.1, 0.15
 # More objects than the servers remember together, so that some are always cold.
 OBJECT_COUNT = 400
@@ -84,6 +85,7 @@
         self.fleet = fleet
         self.stops: list[GracefulStop] = []
         self.longest_lag_s = 0.0
+        self.late_count = 0
 
     async def watch_lag(self) -> None:
         """Measure how late the tasks of this process run, callers and servers among them."""
@@ -92,6 +94,7 @@
             await anyio.sleep(LAG_INTERVAL_S)
             lag_s = time.monotonic() - started_s - LAG_INTERVAL_S
             self.longest_lag_s = max(self.longest_lag_s, lag_s)
+            self.late_count += lag_s > LATE_S
 
     async def run(self, seconds: float) -> None:
         """Restart all VMs in series, then overlapping, and so on; restart a server with each."""
@@ -141,6 +144,7 @@
     stop_median_s: float
     violations: int
     longest_lag_s: float = 0.0
+    late_count: int = 0
 
 
 def find_phase(request: RequestRecord, stops: Sequence[GracefulStop], noticed: list[float]) -> str:
@@ -227,7 +231,9 @@
         evidence = collect_evidence(fleet, sender.records, restarts.stops)
         noticed = {vm.name: read_noticed(fleet, vm) for vm in fleet.vms}
         report = make_report(seed, evidence, noticed)
-        report = report._replace(longest_lag_s=round(restarts.longest_lag_s, 3))
+        report = report._replace(
+            longest_lag_s=round(restarts.longest_lag_s, 3), late_count=restarts.late_count
+        )
         for request, work in find_ended_at_work(evidence):
             phase = find_phase(request, evidence.stops, noticed[request.vm])
             after_s = [
@@ -241,6 +247,9 @@
                 print(f"  {line}")
         for line in find_violations(evidence):
             print(line)
+        for request in sender.records:
+            if request.failure and request.failure != "ConnectError":
+                print(request, *find_log_lines(fleet, request.request_id))
         keep_logs(fleet, LOG_FOLDER / f"restarts-{seed}")
     return report
 
--- a/tools/steering_fleet.py
+++ b/tools/steering_fleet.py
@@ -228,7 +228,7 @@
 
     async def is_ready(self, vm: Vm) -> bool:
         """Return whether a VM's readiness endpoint answers 200."""
-        async with httpx.AsyncClient(verify=False) as client:
+        async with httpx.AsyncClient(verify=False, trust_env=False) as client:
             try:
                 response = await client.get(
                     f"http://{vm.ip}:{self.readiness_port}/v1/ready", timeout=1
@@ -240,7 +240,7 @@
     async def resolve(self, vm: Vm, failure_domain: str) -> list[str]:
         """Return the addresses that a VM's directory lists for callers in a failure domain."""
         params = {"name": "a.example", "region": REGIONS[failure_domain], "zone": failure_domain}
-        async with httpx.AsyncClient(verify=False) as client:
+        async with httpx.AsyncClient(verify=False, trust_env=False) as client:
             url = f"http://{vm.ip}:{self.directory_port}/v1/resolve"
             response = await client.get(url, params=params, timeout=2)
             addresses: list[str] = response.json().get("addresses", [])
