Soak: no request is ended by a VM while a server is at work on it

The check finds each case in which a caller got an answer of the VM, or none, before the route's timeout while a server had the request queued, running or served; it excuses what the rule excuses: a server that broke off, the deadline, the last sixth of the grace time, a halted process.

--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -12,11 +12,15 @@
     Disturbance,
     Evidence,
     GracefulStop,
+    LinkReset,
+    ServerWork,
     find_violations,
 )
 from soak.runner import run_seed
 from soak.schedule import make_schedule
 
+from berylbank_standins._internal.steered_backend import WorkRecord
+
 HEADERS = {"x-tenant": "alder"}
 BOOKING = RequestRecord("b1", "key", True, "vm-0", 10.0, 10.1, 200, "", True)
 READ = RequestRecord("r1", "key", False, "vm-0", 10.0, 10.1, 200, "", True)
@@ -74,6 +78,64 @@
     )
 
 
+def end_read(
+    evidence, state="running", *, status=502, after_s=1.2, work_s=None, sent_s=20.0, **changes
+):
+    """Add a read that a VM ended ``after_s`` after it was sent, and the work at its server."""
+    read = READ._replace(request_id="r3", sent_s=sent_s, ended_s=sent_s + after_s, status=status)
+    evidence.requests.append(read._replace(**changes))
+    work_s = after_s if work_s is None else work_s
+    record = WorkRecord("r3", sent_s + 0.01, sent_s + work_s, state)
+    return evidence._replace(work=[ServerWork("s1", record)])
+
+
+def end_read_at_stop(evidence, *, at_s, sent_s):
+    """Add a read that ends ``at_s`` after the SIGTERM of a VM with 6 s of grace time."""
+    evidence.stops.append(GracefulStop("vm-0", 20.0, 25.6, 6.0))
+    return end_read(evidence, sent_s=20.0 + sent_s, after_s=at_s - sent_s)
+
+
+def end_read_after_pause(evidence, pause_end_s):
+    evidence.disturbances.append(Disturbance("vm-0", pause_end_s - 1, pause_end_s, True))
+    return end_read(evidence)
+
+
+def end_read_at_reset(evidence, server):
+    evidence = end_read(evidence)
+    return evidence._replace(link_resets=[LinkReset(server, 21.0, 22.0)])
+
+
+ENDED_READS = {
+    "a read answered with 502 that was queued": lambda e: end_read(e, "queued"),
+    "a read answered with 502 that was running": end_read,
+    "a read answered with 502 that a server had served": lambda e: end_read(e, "done", work_s=1.1),
+    "a read answered with 502 while a server runs it on": lambda e: end_read(e, "done", work_s=1.5),
+    "a read refused with 503 that was running": lambda e: end_read(e, status=503),
+    "a read closed without an answer that was running": lambda e: end_read(
+        e, status=0, failure="ReadError"
+    ),
+    "a read ended by a stop too early": lambda e: end_read_at_stop(e, at_s=4.9, sent_s=2.95),
+    "a late read ended by a stop": lambda e: end_read_at_stop(e, at_s=5.1, sent_s=3.2),
+    "a read ended long after a pause": lambda e: end_read_after_pause(e, 15.9),
+    "a read ended while another server's link was reset": lambda e: end_read_at_reset(e, "s2"),
+    "a read answered with 504 at its route's timeout": lambda e: end_read(
+        e, status=504, after_s=2.0
+    ),
+    "a read answered with 503 by its server": lambda e: end_read(
+        e, "done", status=503, signed=True
+    ),
+    "a read answered with 502 that its server cut short": lambda e: end_read(e, "truncated"),
+    "a read answered with 503 that its server refused": lambda e: end_read(
+        e, "refused", status=503
+    ),
+    "a read whose connection had died": lambda e: end_read(e, "silent"),
+    "a read answered with 502 as its link was reset": lambda e: end_read_at_reset(e, "s1"),
+    "a read ended by a stop in the last sixth of its time": lambda e: end_read_at_stop(
+        e, at_s=5.1, sent_s=3.0
+    ),
+    "a read ended at a VM that was paused": lambda e: end_read_after_pause(e, 20.5),
+}
+
 VIOLATIONS = {
     "a booking that ran twice": add_second_run,
     "a booking refused with 503 that ran": add_false_refusal,
@@ -89,7 +151,10 @@
 
 @when("it also contains {violation}")
 def step_record_violation(context, violation):
-    VIOLATIONS[violation](context.evidence)
+    if violation in ENDED_READS:
+        context.evidence = ENDED_READS[violation](context.evidence)
+    else:
+        VIOLATIONS[violation](context.evidence)
 
 
 @when("the VM was paused before")
@@ -125,6 +190,12 @@
     context.result = anyio.run(run_seed, seed, float(seconds), 4, 5, folder, True)
 
 
+@when("the soak runs seed {seed:d} for {seconds:d} s with busy servers")
+def step_run_busy(context, seed, seconds):
+    folder = Path("target/soak")
+    context.result = anyio.run(run_seed, seed, float(seconds), 4, 5, folder, True, True)
+
+
 @then("no guarantee is violated and callers were served")
 def step_run_succeeded(context):
     assert context.result.violations == []
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -40,6 +40,7 @@
     vms: Annotated[int, cyclopts.Parameter(help="number of VMs")] = 4,
     servers: Annotated[int, cyclopts.Parameter(help="number of backend servers")] = 5,
     planned: Annotated[bool, cyclopts.Parameter(help="only planned operations")] = False,
+    busy: Annotated[bool, cyclopts.Parameter(help="queued, cold and slow servers")] = False,
 ) -> int:
     """Run seeds one after the other; exit with 1 if a guarantee was violated."""
     chosen = [seed] if seed is not None else [secrets.randbelow(10**6) for _ in range(seeds)]
@@ -47,7 +48,7 @@
     results = []
     for current_seed in chosen:
         results.append(
-            anyio.run(run_seed, current_seed, seconds, vms, servers, LOG_FOLDER, planned)
+            anyio.run(run_seed, current_seed, seconds, vms, servers, LOG_FOLDER, planned, busy)
         )
         report(results[-1])
     failed = [result for result in results if result.violations]
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -46,6 +46,17 @@
 # Longest time from SIGTERM to exit; more than the grace time of the fleet's settings.
 EXIT_LIMIT_S = 6.0
 BEHAVIOUR = SteeredBehaviour(work_ms=20, body_bytes=150_000)
+# Queued, cold or slow: a request takes up to the timeout of its route, but is responded to before.
+BUSY_BEHAVIOUR = SteeredBehaviour(
+    slots=1,
+    work_ms=150,
+    body_bytes=20_000,
+    slow_share=0.1,
+    slow_ms=1_700,
+    cold_s=5.0,
+    cold_factor=2.0,
+    keep_deadlines=True,
+)
 # Signals that follow on the first SIGTERM of a stop, and the time between them.
 FURTHER_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 SIGNAL_INTERVAL_S = 0.2
@@ -70,8 +81,11 @@
     A fault is skipped if its target is in ``faulty_targets`` because of an earlier fault.
     """
 
-    def __init__(self, fleet: SteeringFleet, group: TaskGroup, seed: int) -> None:
+    def __init__(
+        self, fleet: SteeringFleet, group: TaskGroup, seed: int, behaviour: SteeredBehaviour
+    ) -> None:
         self.fleet = fleet
+        self.behaviour = behaviour
         self.group = group
         self.rng = random.Random(seed)
         self.callers = Callers(fleet, (API_KEY, SPARE_KEY), seed)
@@ -109,7 +123,8 @@
 
     async def recover(self) -> list[str]:
         """Revert drains and withdrawals; return a line for each VM that fails to recover."""
-        for server_id in self.fleet.servers:
+        for server_id, server in self.fleet.servers.items():
+            server.behaviour = BEHAVIOUR
             await self.fleet.set_state(server_id, "ready")
         self._write_configuration(spare_key_withdrawn=False)
         failed = []
@@ -256,7 +271,7 @@
         server = self.fleet.servers[server_id]
         server.behaviour = server.behaviour._replace(**SERVER_BEHAVIOUR_CHANGES[fault.kind])
         await anyio.sleep(fault.duration_s)
-        server.behaviour = BEHAVIOUR
+        server.behaviour = self.behaviour
         return ""
 
     async def _drain_server(self, fault: Fault, server_id: str) -> str:
@@ -323,22 +338,30 @@
 
 
 async def run_seed(
-    seed: int, length_s: float, vms: int, servers: int, logs: Path, planned: bool = False
+    seed: int,
+    length_s: float,
+    vms: int,
+    servers: int,
+    logs: Path,
+    planned: bool = False,
+    busy: bool = False,
 ) -> SoakResult:
     """Run one seed; keep the VMs' logs if a guarantee was violated.
 
-    With ``planned`` the schedule has only planned operations.
+    With ``planned`` the schedule has only planned operations, with ``busy`` the servers are queued,
+    cold and slow.
     """
+    behaviour = BUSY_BEHAVIOUR if busy else BEHAVIOUR
     faults = make_schedule(seed, length_s, planned)
     async with anyio.create_task_group() as link_group:
         async with open_steering_fleet(
             vms,
             servers,
-            BEHAVIOUR,
+            behaviour,
             make_store_link_opener(link_group, seed),
             SMALL_BUFFERS_ENVIRONMENT,
         ) as fleet:
-            soak = Soak(fleet, link_group, seed)
+            soak = Soak(fleet, link_group, seed, behaviour)
             soak.store_links = fleet.store_links
             await soak.open_links()
             soak._write_configuration(spare_key_withdrawn=False)
