--- a/tests/functional/steering.feature
+++ b/tests/functional/steering.feature
@@ -32,6 +32,20 @@
       | is no longer reachable    |
       | hangs                     |
 
+  # Issue 40: reads ended as hung while their servers were at work.
+  Scenario: a read whose server is at work gets its answer though all others are slow too
+    Given a VM got SIGTERM and has just started again
+    And every server takes 1700 ms for a request
+    When a caller reads object 7
+    Then the caller gets the answer of the server that got the request first
+
+  Scenario: a download whose server is at work gets its answer though no other has room
+    Given a VM got SIGTERM and has just started again
+    And the first server of object 7 works for 1700 ms
+    And every other server sheds every request
+    When a caller downloads object 7
+    Then the caller gets the answer of the server that got the request first
+
   Scenario: a booking that may have run is not retried
     Given the first server of object 7 truncates its responses
     When a caller books object 7
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -31,6 +31,8 @@
     Disturbance,
     Evidence,
     GracefulStop,
+    LinkReset,
+    ServerWork,
     find_violations,
 )
 from soak.proxy import LinkMode, LinkProxy
@@ -44,9 +46,22 @@
 # Longest time from SIGTERM to exit; more than the grace time of the fleet's settings.
 EXIT_LIMIT_S = 6.0
 BEHAVIOUR = SteeredBehaviour(work_ms=20, body_bytes=150_000)
+# Queued, cold or slow: a request takes up to the timeout of its route, but is responded to before.
+BUSY_BEHAVIOUR = SteeredBehaviour(
+    slots=1,
+    work_ms=150,
+    body_bytes=20_000,
+    slow_share=0.1,
+    slow_ms=1_700,
+    cold_s=5.0,
+    cold_factor=2.0,
+    keep_deadlines=True,
+)
 # Signals that follow on the first SIGTERM of a stop, and the time between them.
 FURTHER_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 SIGNAL_INTERVAL_S = 0.2
+# Faults after which a process does not run for a time.
+HALTING_KINDS = (FaultKind.VM_KILL, FaultKind.VM_PAUSE)
 LINK_MODES = (LinkMode.DELAY, LinkMode.RESET, LinkMode.SILENT, LinkMode.ONE_WAY)
 
 
@@ -66,8 +81,11 @@
     A fault is skipped if its target is in ``faulty_targets`` because of an earlier fault.
     """
 
-    def __init__(self, fleet: SteeringFleet, group: TaskGroup, seed: int) -> None:
+    def __init__(
+        self, fleet: SteeringFleet, group: TaskGroup, seed: int, behaviour: SteeredBehaviour
+    ) -> None:
         self.fleet = fleet
+        self.behaviour = behaviour
         self.group = group
         self.rng = random.Random(seed)
         self.callers = Callers(fleet, (API_KEY, SPARE_KEY), seed)
@@ -77,6 +95,7 @@
         self.withdrawn_keys: list[AcknowledgedChange] = []
         self.drained_servers: list[AcknowledgedChange] = []
         self.stops: list[GracefulStop] = []
+        self.link_resets: list[LinkReset] = []
         self.version = 1
         self.spare_key_withdrawn = False
         self.faulty_targets: set[str] = set()
@@ -104,7 +123,8 @@
 
     async def recover(self) -> list[str]:
         """Revert drains and withdrawals; return a line for each VM that fails to recover."""
-        for server_id in self.fleet.servers:
+        for server_id, server in self.fleet.servers.items():
+            server.behaviour = BEHAVIOUR
             await self.fleet.set_state(server_id, "ready")
         self._write_configuration(spare_key_withdrawn=False)
         failed = []
@@ -135,6 +155,12 @@
             self.withdrawn_keys,
             self.drained_servers,
             self.stops,
+            [
+                ServerWork(server_id, record)
+                for server_id, server in self.fleet.servers.items()
+                for record in server.work_records
+            ],
+            self.link_resets,
         )
 
     async def _wait_recovered(self, client: httpx.AsyncClient, vm: Vm) -> None:
@@ -156,7 +182,8 @@
         finally:
             self.faulty_targets.discard(target)
             if vm:
-                self.disturbances.append(Disturbance(vm, start_s, time.monotonic()))
+                halted = fault.kind in HALTING_KINDS
+                self.disturbances.append(Disturbance(vm, start_s, time.monotonic(), halted))
 
     def _target_name(self, fault: Fault) -> str:
         if fault.kind.value.startswith("vm") or fault.kind is FaultKind.STORE_LINK:
@@ -219,7 +246,10 @@
         return name
 
     async def _disturb_server_link(self, fault: Fault, server_id: str) -> str:
+        start_s = time.monotonic()
         await self._disturb_link(self.server_links[server_id], fault)
+        if LINK_MODES[fault.link_mode_number % len(LINK_MODES)] is LinkMode.RESET:
+            self.link_resets.append(LinkReset(server_id, start_s, time.monotonic()))
         return ""
 
     async def _disturb_link(self, link: LinkProxy, fault: Fault) -> None:
@@ -241,7 +271,7 @@
         server = self.fleet.servers[server_id]
         server.behaviour = server.behaviour._replace(**SERVER_BEHAVIOUR_CHANGES[fault.kind])
         await anyio.sleep(fault.duration_s)
-        server.behaviour = BEHAVIOUR
+        server.behaviour = self.behaviour
         return ""
 
     async def _drain_server(self, fault: Fault, server_id: str) -> str:
@@ -308,22 +338,30 @@
 
 
 async def run_seed(
-    seed: int, length_s: float, vms: int, servers: int, logs: Path, planned: bool = False
+    seed: int,
+    length_s: float,
+    vms: int,
+    servers: int,
+    logs: Path,
+    planned: bool = False,
+    busy: bool = False,
 ) -> SoakResult:
     """Run one seed; keep the VMs' logs if a guarantee was violated.
 
-    With ``planned`` the schedule has only planned operations.
+    With ``planned`` the schedule has only planned operations, with ``busy`` the servers are queued,
+    cold and slow.
     """
+    behaviour = BUSY_BEHAVIOUR if busy else BEHAVIOUR
     faults = make_schedule(seed, length_s, planned)
     async with anyio.create_task_group() as link_group:
         async with open_steering_fleet(
             vms,
             servers,
-            BEHAVIOUR,
+            behaviour,
             make_store_link_opener(link_group, seed),
             SMALL_BUFFERS_ENVIRONMENT,
         ) as fleet:
-            soak = Soak(fleet, link_group, seed)
+            soak = Soak(fleet, link_group, seed, behaviour)
             soak.store_links = fleet.store_links
             await soak.open_links()
             soak._write_configuration(spare_key_withdrawn=False)
