Ignore SIGHUP before the daemon's modules are imported

A VM that got SIGHUP while it started was gone: the process ended with -1.

SIGHUP was ignored by the code of the command, after the argument parser had been imported (or, on the platform's command line, the command's modules). On a busy machine that was later than 0.3 s after the process was started. It is now the first thing that the process does.

The new scenarios, which need no timing, failed before (SIG_DFL at the import of pathlib) and pass now. The functional test is unchanged. What remains is the start of the interpreter itself, 0.02 to 0.2 s at that load: a signal in that time still ends the process, before it listens.

--- a/packages/berylbankd/src/berylbankd/__main__.py
+++ b/packages/berylbankd/src/berylbankd/__main__.py
@@ -1,8 +1,11 @@
 """Run the daemon as ``python -m berylbankd``."""
 
 import gc
+import signal
 import sys
 
+# Until the daemon handles it, SIGHUP would end the process, and the imports take long on a busy VM.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # Imports create many objects that are never freed, so garbage collection would only cost time. The
 # commands enable it again.
 gc.disable()
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -10,8 +10,24 @@
 from behave import given, then, when
 
 from berylbank._internal.exceptions import InvalidDocumentError
+from berylbankd._internal.commands.steer import EXIT_BAD_SETTINGS
+from berylbankd._internal.platform.names import SETTINGS_PATH_VARIABLE
 from berylbankd._internal.platform.settings import load_deployment
 
+# Runs the daemon as ``python -m`` does, and prints the disposition of SIGHUP at each import.
+READ_DISPOSITIONS = """
+import runpy, signal, sys
+
+class DispositionReader:
+    @staticmethod
+    def find_spec(name, path=None, target=None):
+        handler = signal.getsignal(signal.SIGHUP)
+        print("import", name, getattr(handler, "name", "a handler"), file=sys.stderr)
+
+sys.meta_path.insert(0, DispositionReader)
+sys.argv[0:1] = []
+runpy.run_module("berylbankd", run_name="__main__", alter_sys=True)
+"""
 PACKAGES = Path(__file__).parents[2] / "packages"
 DAEMON = PACKAGES / "berylbankd/src/berylbankd/_internal"
 # Names that only the platform uses; common words that berylbank uses too are left out.
@@ -143,3 +159,28 @@
     assert context.missing_path in context.completed.stderr
     assert "hint: name a readable TOML file" in context.completed.stderr
     assert "cyclopts" not in context.completed.stderr
+
+
+@when("the daemon is started as {command}, and its disposition of SIGHUP is read at each import")
+def step_start_and_read_disposition(context, command):
+    environment = {**os.environ, SETTINGS_PATH_VARIABLE: "absent.toml"}
+    result = subprocess.run(
+        [sys.executable, "-c", READ_DISPOSITIONS, *command.split()],
+        capture_output=True,
+        text=True,
+        env=environment,
+        timeout=60,
+        check=False,
+    )
+    assert result.returncode == EXIT_BAD_SETTINGS, result
+    lines = [line.split() for line in result.stderr.splitlines() if line.startswith("import ")]
+    context.dispositions = [(module, disposition) for _, module, disposition in lines]
+
+
+@then("SIGHUP is ignored at the import of {package} and at each one after it")
+def step_ignored(context, package):
+    modules = [module for module, _ in context.dispositions]
+    first = modules.index(package)
+    assert len(modules) > first + 1, modules
+    late = [item for item in context.dispositions[first:] if item[1] != "SIG_IGN"]
+    assert not late, late[:5]
