Plan a stop from the signal, not from when the event loop handles it

A VM whose event loop was busy when SIGTERM came (a burst that is parsed in one pass, a long callback) started requests that were sent later than 3 s after the signal, and ended those still at work at the end of its grace time. The times of the stop ran from the event loop's pass that handled the signal, 100 ms were left for that.

A handler of the interpreter, which runs between any two instructions, now records when a signal arrived, and the plan counts from the first SIGTERM or SIGINT. Handlers stay installed until the signals are ignored at the exit; before, the event loop restored the default for a moment in between.

What the interpreter can't notice remains: a call that doesn't return to it, or a process that gets no processor time, for more than 100 ms.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/stop_plan.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/stop_plan.py
@@ -9,7 +9,7 @@
 
 # A stopping VM starts requests for this share of the grace time, but no longer than the maximum, as
 # callers still use earlier look-up answers. Requests that are sent later than 3 s after the signal
-# must not be cut, and the VM may notice the signal late.
+# must not be cut, and the interpreter may notice the signal late.
 ACCEPT_GRACE_RATIO = 0.5
 MAX_START_MS = 2_900
 # Connections that were accepted last deliver their requests within this time.
@@ -34,17 +34,17 @@
     deliver_ms: int
 
 
-def plan_stop(now_ms: int, grace_ms: int, longest_request_ms: int) -> StopPlan:
-    """Plan a stop that begins now.
+def plan_stop(signal_ms: int, grace_ms: int, longest_request_ms: int) -> StopPlan:
+    """Plan the stop for which a signal arrived at ``signal_ms``, a time of the clock.
 
-    ``grace_ms`` is the time until the process is killed, ``longest_request_ms`` how long a request
-    may take until its caller has read the response.
+    ``grace_ms`` is the time from the signal until the process is killed, ``longest_request_ms`` how
+    long a request may take until its caller has read the response.
     """
     end_ms = int(grace_ms * FINISH_GRACE_RATIO)
     start_ms = min(int(grace_ms * ACCEPT_GRACE_RATIO), MAX_START_MS, end_ms - longest_request_ms)
     return StopPlan(
-        now_ms + max(0, start_ms - LAST_REQUESTS_MS),
-        now_ms + max(0, start_ms),
-        now_ms + end_ms,
-        now_ms + int(grace_ms * DELIVER_GRACE_RATIO),
+        signal_ms + max(0, start_ms - LAST_REQUESTS_MS),
+        signal_ms + max(0, start_ms),
+        signal_ms + end_ms,
+        signal_ms + int(grace_ms * DELIVER_GRACE_RATIO),
     )
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -43,7 +43,7 @@
 from berylbankd._internal.steering.digest_exchange import OwnState
 from berylbankd._internal.steering.directory import ReadyVm, choose_addresses
 from berylbankd._internal.steering.steering import Steering
-from berylbankd._internal.supervision import ignore_signals, run_supervised
+from berylbankd._internal.supervision import SignalReceiver, ignore_signals, run_supervised
 
 # Callers keep the answer of a look-up at most this long, and stop using a VM that is not in the
 # next one.
@@ -59,7 +59,11 @@
 
 
 class SteeringApplication:
-    """The steering daemon of one VM: its components, background tasks and HTTP servers."""
+    """The steering daemon of one VM: its components, background tasks and HTTP servers.
+
+    ``stop_signal_ms`` is the time of the signal that stops the VM, valid once ``stop_requested`` is
+    set.
+    """
 
     def __init__(self, settings_path: Path) -> None:
         self.settings_path = settings_path
@@ -67,6 +71,7 @@
         self.clock = BootClock()
         self.logs = LogWriter(self.deployment.vm)
         self.stop_requested = anyio.Event()
+        self.stop_signal_ms = 0
         self.digest_due = anyio.Event()
 
     async def run(self) -> None:
@@ -299,7 +304,7 @@
         """Leave look-up answers, serve callers for a time, then finish running requests."""
         app = self.caller_app
         plan = plan_stop(
-            self.clock.now_ms(), self.deployment.bounds.grace_ms, app.longest_request_ms()
+            self.stop_signal_ms, self.deployment.bounds.grace_ms, app.longest_request_ms()
         )
         self.steering.leaving = True
         self.caller_server.prepare_stop()
@@ -343,13 +348,16 @@
             )
 
     async def _watch_signals(self) -> None:
+        receiver = SignalReceiver(self.clock)
+        receiver.install(HANDLED_SIGNALS)
         try:
-            with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
-                async for signal_number in signals:
-                    if signal_number == signal.SIGHUP:
-                        self._reload()
-                    else:
-                        self.stop_requested.set()
+            while True:
+                number, arrived_ms = await receiver.receive()
+                if number == signal.SIGHUP:
+                    self._reload()
+                elif not self.stop_requested.is_set():
+                    self.stop_signal_ms = arrived_ms
+                    self.stop_requested.set()
         finally:
             ignore_signals(HANDLED_SIGNALS)
 
