--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -4,6 +4,7 @@
 them, by the phase of the VM's restart, as callers and servers see it.
 """
 
+import contextlib
 import json
 import os
 import secrets
@@ -86,6 +87,7 @@
         self.stops: list[GracefulStop] = []
         self.longest_lag_s = 0.0
         self.late_count = 0
+        self.killed_count = 0
 
     async def watch_lag(self) -> None:
         """Measure how late the tasks of this process run, callers and servers among them."""
@@ -121,8 +123,11 @@
         with anyio.move_on_after(GRACE_S) as scope:
             await vm.process.wait()
         if scope.cancelled_caught:
-            os.kill(vm.process.pid, signal.SIGKILL)
+            # The process may have ended in this moment.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(vm.process.pid, signal.SIGKILL)
             await vm.process.wait()
+            self.killed_count += 1
         self.stops.append(GracefulStop(vm.name, start_s, time.monotonic(), GRACE_S))
         await self.fleet.start_vm(vm)
         await self.fleet.wait_ready(vm)
@@ -145,6 +150,7 @@
     violations: int
     longest_lag_s: float = 0.0
     late_count: int = 0
+    killed_count: int = 0
 
 
 def find_phase(request: RequestRecord, stops: Sequence[GracefulStop], noticed: list[float]) -> str:
@@ -232,7 +238,9 @@
         noticed = {vm.name: read_noticed(fleet, vm) for vm in fleet.vms}
         report = make_report(seed, evidence, noticed)
         report = report._replace(
-            longest_lag_s=round(restarts.longest_lag_s, 3), late_count=restarts.late_count
+            longest_lag_s=round(restarts.longest_lag_s, 3),
+            late_count=restarts.late_count,
+            killed_count=restarts.killed_count,
         )
         for request, work in find_ended_at_work(evidence):
             phase = find_phase(request, evidence.stops, noticed[request.vm])
