Answer what arrives on a caller's connection while the own interface stops

Callers whose request arrived on an idle connection in the moment of a stop lost the connection, though the VM had read the request and passed it on: hypercorn decides to close an idle connection, and closes it some turns of the event loop later, when a request may run on it. The same holds at the end of the keep-alive timeout. Connections that waited to be accepted were reset. A request that ran until the end of the second grace time (sent to its server after the drain, such as a slow upload) was cancelled and got an empty 500.

Each connection is now served by a subclass of hypercorn's, which closes an idle one only if no request has arrived on it, and passes none on after that; what waits to be accepted when it stops listening is accepted, as the platform's server does; at the end of the grace time unanswered requests are ended as by a deadline, and get 504 with ran unknown, before connections are closed.

--- a/packages/berylbankd/src/berylbankd/_internal/application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/application.py
@@ -97,8 +97,11 @@
 
     def _start_servers(self, group: TaskGroup) -> None:
         vm, grace_ms = self.settings.vm, self.settings.timing.stop_grace_ms
-        for app, address in ((self.entry, vm.callers), (self.operators, vm.operators)):
-            group.start_soon(serve_http, app, address, self.stop_serving, grace_ms)
+        end_requests = self.entry.dispatcher.deadline_monitor.expire_unanswered
+        group.start_soon(
+            serve_http, self.entry, vm.callers, self.stop_serving, grace_ms, end_requests
+        )
+        group.start_soon(serve_http, self.operators, vm.operators, self.stop_serving, grace_ms)
         logger.info("VM {} listens for callers on {}", vm.name, vm.callers)
 
     async def _leave_and_drain(self) -> None:
--- a/tests/unit/serving.feature
+++ b/tests/unit/serving.feature
@@ -9,3 +9,20 @@
     Given a server whose idle timeouts are 1 second
     When a caller sends half of its headers and waits
     Then its connection is closed
+
+  # As in issue 40: a request that was passed on to a server lost its connection at the stop.
+  Scenario: requests that arrive on idle connections while a server stops are answered or not passed on
+    Given a server with 60 idle connections of callers
+    When the server stops while a request arrives on each of them
+    Then every request that the application got was answered
+    And no connection was reset
+
+  Scenario: connections that wait to be accepted when a server stops are served
+    Given a server with 0 idle connections of callers
+    When 20 callers connect and send a request, and the server stops before it has accepted them
+    Then every caller got a response
+
+  Scenario: a request that still runs at the end of the grace time gets the application's response
+    Given a server with 1 idle connections of callers
+    When a request runs until the grace time of 300 ms ends
+    Then the caller gets the application's response
