Let the attempts of a request race: a silent server is not given up for another one

Cause: an attempt of an idempotent request ended max(6 x mean service time, 2.5 x objective) after it was sent, its connection was closed, and another attempt was made in its place. If no server had room, or the retry budget was spent, or the second server refused, broke off, failed or was slower than the first one, the caller got that. A process that has just started assumes 200 ms of service time, hence 1.2 s. `Dispatcher.stopping` had mended this for a VM that stops only; it is gone.

Fix: the attempts of a request run beside each other (ingress/race.py). A silent server causes a further attempt under the same conditions as before; its own goes on. Only the first success, the end of every attempt without a further one possible, the deadline or the caller's leaving ends the request. While no server has room or credit is missing, that is asked again every 100 ms. Silence means that no part of a response has arrived for that long, and a body that the caller still sends does not count. Retry credit is no longer spent if no server has room. A silent server has one failure on record; a late success clears it as any success does, and is no second piece of evidence on a release. A server that is silent until the deadline is recorded if it was so for as long as the timeout; before, two timers that ended within a millisecond left that, and 502 or 504, to chance.

The first attempt runs in the request's own task as before, the task that waits for the caller's disconnect also has the timer; one cancel scope a request fewer. ingress/dispatch.py (601 lines) is now dispatch (choices and results), race, server_exchange (one attempt's I/O) and attempts (state).

At a machine load of 25 two of the new scenarios failed once in tests/unit/ingress, on bounds of waiting time or otherwise: output not kept, they passed before and after; being traced.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -9,10 +9,16 @@
 
 from berylbank._internal.utils.clock import Clock
 from berylbankd._internal.backends.connection import BackendConnectionError
+from berylbankd._internal.ingress.attempts import (
+    BufferedResponse,
+    OutgoingRequest,
+    RequestAttempts,
+)
 from berylbankd._internal.ingress.codec import HeaderCodec
-from berylbankd._internal.ingress.dispatch import BufferedResponse, Dispatcher, RequestAttempts
+from berylbankd._internal.ingress.dispatch import Dispatcher
 from berylbankd._internal.ingress.exchange import CallerDisconnectedError, CallerExchange
 from berylbankd._internal.ingress.intake import RequestIntake
+from berylbankd._internal.ingress.race import AttemptRace
 from berylbankd._internal.ingress.rate_limiter import RateLimiter
 from berylbankd._internal.ingress.request_faults import RequestFaults
 from berylbankd._internal.ingress.request_log import RequestLog, RequestRecord
@@ -83,9 +89,8 @@
         self.longest_delivery_ms = 0.0
 
     def start_stopping(self, plan: StopPlan) -> None:
-        """Start only requests that can still finish from now on, and wait for silent servers."""
+        """Start only requests that can still finish from now on."""
         self.stop_plan = plan
-        self.dispatcher.start_stopping()
 
     def expire_deadlines(self) -> None:
         """End the wait of every request for its body or a server now, so that each is answered."""
@@ -232,7 +237,8 @@
             frozenset(),
             timeout_ms,
         )
-        result = await self._dispatch_until_deadline(exchange, pick_request, deadline_ms, attempts)
+        request = OutgoingRequest(exchange, pick_request, deadline_ms, attempts)
+        result = await AttemptRace(self.dispatcher, request).run(self.deadline_scopes)
         if result is None:
             await self._end_without_caller(exchange, attempts)
             return
@@ -261,35 +267,6 @@
         self._log_request(exchange, attempts, 0, "caller_gone")
         await exchange.read_close()
 
-    async def _dispatch_until_deadline(
-        self,
-        exchange: CallerExchange,
-        pick_request: PickRequest,
-        deadline_ms: int,
-        attempts: RequestAttempts,
-    ) -> BufferedResponse | Refusal | None:
-        """Dispatch until the deadline; return None if the caller disconnects first."""
-        result: BufferedResponse | Refusal | None = None
-
-        async def cancel_on_disconnect(cancel_scope: anyio.CancelScope) -> None:
-            await exchange.wait_for_disconnect()
-            cancel_scope.cancel()
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(cancel_on_disconnect, group.cancel_scope)
-            remaining_s = max(0, deadline_ms - self.clock.now_ms()) / 1000
-            with self._end_with_stop(anyio.move_on_after(remaining_s)) as deadline_scope:
-                try:
-                    result = await self.dispatcher.dispatch(
-                        exchange, pick_request, deadline_ms, attempts
-                    )
-                except CallerDisconnectedError:
-                    group.cancel_scope.cancel()
-            if deadline_scope.cancelled_caught:
-                result = make_result_after_deadline(attempts)
-            group.cancel_scope.cancel()
-        return result
-
     # Responses
 
     async def _send_result(
@@ -416,12 +393,3 @@
     if not route.regions:
         return organisation.regions
     return (route.regions & organisation.regions) or None
-
-
-def make_result_after_deadline(attempts: RequestAttempts) -> Refusal | BufferedResponse:
-    """Return the response or the refusal for a request whose deadline has expired."""
-    if attempts.server_error_response is not None:
-        return attempts.server_error_response
-    if attempts.may_have_run:
-        return Refusal(RefusalKind.DEADLINE, Ran.UNKNOWN)
-    return Refusal(RefusalKind.NO_SLOT)
--- a/tests/steps/silent_server_steps.py
+++ b/tests/steps/silent_server_steps.py
@@ -172,7 +172,7 @@
             if self.mean_service_ms:
                 steering.mean_service_ms["desk"] = self.mean_service_ms
             budget = steering.retry_budget("desk")
-            budget.ratio, budget.credit = 0.0, 1.0
+            budget.ratio, budget.credit = 0.0, 2.0
             await self._send(wait_ms, budget)
             group.cancel_scope.cancel()
 
@@ -198,7 +198,8 @@
 
     async def _spend_budget(self, budget):
         await anyio.sleep(self.budget_spent_after_s)
-        assert budget.take()
+        while budget.take():
+            pass
 
     async def _send(self, wait_ms, budget):
         method = "GET" if self.kind is RequestKind.SAFE else "POST"
