Start requests that end before the stop whatever other requests took

A stopping VM answered 503 to requests that it could have served: the slowest recent request of any service, times 1.25, was taken off the time in which it starts requests of all services, and of those too whose deadline comes before the stop ends anything.

The plan no longer depends on that guess; the check of each request does, as before, by its own service and deadline.

The application for callers still has the same check in its own words.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/stop_plan.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/stop_plan.py
@@ -33,18 +33,26 @@
     end_ms: int
     deliver_ms: int
 
+    def may_start(self, now_ms: int, deadline_ms: int, longest_ms: float) -> bool:
+        """Tell whether a request that arrives now would end before the VM ends it.
 
-def plan_stop(signal_ms: int, grace_ms: int, longest_request_ms: int) -> StopPlan:
+        ``deadline_ms`` is a time of the clock, ``longest_ms`` how long requests like it take until
+        their callers have read the response.
+        """
+        if now_ms > self.last_start_ms:
+            return False
+        return min(deadline_ms, now_ms + longest_ms) <= self.end_ms
+
+
+def plan_stop(signal_ms: int, grace_ms: int) -> StopPlan:
     """Plan the stop for which a signal arrived at ``signal_ms``, a time of the clock.
 
-    ``grace_ms`` is the time from the signal until the process is killed, ``longest_request_ms`` how
-    long a request may take until its caller has read the response.
+    ``grace_ms`` is the time from the signal until the process is killed.
     """
-    end_ms = int(grace_ms * FINISH_GRACE_RATIO)
-    start_ms = min(int(grace_ms * ACCEPT_GRACE_RATIO), MAX_START_MS, end_ms - longest_request_ms)
+    start_ms = min(int(grace_ms * ACCEPT_GRACE_RATIO), MAX_START_MS)
     return StopPlan(
         signal_ms + max(0, start_ms - LAST_REQUESTS_MS),
-        signal_ms + max(0, start_ms),
-        signal_ms + end_ms,
+        signal_ms + start_ms,
+        signal_ms + int(grace_ms * FINISH_GRACE_RATIO),
         signal_ms + int(grace_ms * DELIVER_GRACE_RATIO),
     )
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -303,9 +303,7 @@
     async def _stop_gracefully(self) -> None:
         """Leave look-up answers, serve callers for a time, then finish running requests."""
         app = self.caller_app
-        plan = plan_stop(
-            self.stop_signal_ms, self.deployment.bounds.grace_ms, app.longest_request_ms()
-        )
+        plan = plan_stop(self.stop_signal_ms, self.deployment.bounds.grace_ms)
         self.steering.leaving = True
         self.caller_server.prepare_stop()
         app.start_stopping(plan)
