Refuse a request whose key was withdrawn before its response begins, in place of a cut

Callers got 200 and the headers, then a closed connection: the check of the key came with the first chunk, after the head had been relayed. The check now comes before the head, and the caller gets 401 key_withdrawn or 503 no_authority, with ran unknown. A response that has begun is still cut, by design.

--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -89,6 +89,9 @@
             attempt = await self._find_response(exchange, attempts)
             if attempt is None:
                 return attempts.refusal
+            if exchange.idempotent and not self.request_filters.may_still_run(exchange):
+                refusal = self.request_filters.make_revocation_refusal(exchange)
+                return refusal._replace(ran=Ran.UNKNOWN)
             await self._relay_response(exchange, attempt)
             self._record_response(exchange, attempt)
             attempt.reusable = True
--- a/tests/unit/entry/silent_servers.feature
+++ b/tests/unit/entry/silent_servers.feature
@@ -86,6 +86,14 @@
     Then the caller is refused with "key_withdrawn" and "ran" set to "unknown" within 1000 ms
     And no slot, connection or task is left over
 
+  Scenario: a key that is withdrawn before its server responds is refused, not cut off
+    Given a service with a timeout of 3000 ms and a first server that has answered on a connection
+    And the first server answers in 200 ms from now on
+    And another server that answers in 0 ms
+    When a caller sends a lookup whose key is withdrawn after 50 ms
+    Then the caller is refused with "key_withdrawn" and "ran" set to "unknown" within 1000 ms
+    And no slot, connection or task is left over
+
   Scenario: a booking at a slow server is sent once and answered
     Given a service with a timeout of 3000 ms and a first server that has answered on a connection
     And the first server answers in 1200 ms from now on
