Refuse the requests that the end of the process cancels, in place of an empty 500

Callers whose request waited for a slot, a token or its own body when a stopping VM's connections were closed got 500 without a body, from hypercorn, also if a server was at work for it. They now get 503 vm_stopping with ran no, or 504 deadline with ran unknown once it was sent to a server. asyncio no longer logs a traceback for each connection that is closed this way. Both examples of the scenario failed before (HTTP/1.1 500) and pass; tests/unit/serving.feature and tests/unit/entry: 41 of 41.

--- a/packages/berylbankd/src/berylbankd/_internal/entry/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/app.py
@@ -4,6 +4,8 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+import anyio
+
 from berylbankd._internal.claims.claim_store import ClaimStore
 from berylbankd._internal.coordinator import Coordinator
 from berylbankd._internal.entry.dispatch import (
@@ -22,6 +24,7 @@
 from berylbankd._internal.serving import serve_lifespan
 
 NO_TRAFFIC_CLASS = "none"
+MAX_REFUSAL_AT_EXIT_S = 0.25
 
 
 class EntryApp:
@@ -66,6 +69,9 @@
                 self._refund_token(exchange, refusal)
             if refusal is not None:
                 await self._send_refusal(exchange, refusal)
+        except anyio.get_cancelled_exc_class():
+            await self._refuse_at_exit(exchange)
+            raise
         except CallerDisconnectedError:
             return
         except RequestBodyError as error:
@@ -76,6 +82,16 @@
             raise
         self._record_outcome(exchange, refusal, (time.perf_counter() - started_s) * 1000)
 
+    async def _refuse_at_exit(self, exchange: Exchange) -> None:
+        """Refuse a request that is cancelled because the process ends, unless it has a response."""
+        if exchange.status:
+            return
+        refusal = Refusal(RefusalKind.VM_STOPPING)
+        if exchange.tried_backends:
+            refusal = Refusal(RefusalKind.DEADLINE, Ran.UNKNOWN)
+        with anyio.move_on_after(MAX_REFUSAL_AT_EXIT_S, shield=True):
+            await self._send_refusal(exchange, refusal)
+
     async def _dispatch_with_claim(self, exchange: Exchange) -> Refusal | None:
         """Dispatch the request; claim its idempotency key first, if it has one."""
         claim_result = await self.idempotency_claims.claim_key(exchange)
--- a/packages/berylbankd/src/berylbankd/_internal/serving.py
+++ b/packages/berylbankd/src/berylbankd/_internal/serving.py
@@ -3,6 +3,7 @@
 import asyncio
 import select
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -131,7 +132,9 @@
         self.connection_tasks.add(task)
         task.add_done_callback(self.connection_tasks.discard)
         loop, state = asyncio.get_running_loop(), LifespanState()
-        await CallerConnection(self.app, loop, self.config, self.context, state, reader, writer)
+        # asyncio logs the cancellation of a connection's task as an error.
+        with suppress(asyncio.CancelledError):
+            await CallerConnection(self.app, loop, self.config, self.context, state, reader, writer)
 
     async def wait_until_closed(self, timeout_s: float) -> None:
         """Wait until all connections are closed, at most ``timeout_s``."""
--- a/tests/steps/serving_steps.py
+++ b/tests/steps/serving_steps.py
@@ -1,6 +1,8 @@
 """Steps on the timeouts of the HTTP server for callers."""
 
+import json
 import socket
+from types import SimpleNamespace
 from unittest import mock
 
 import anyio
@@ -10,6 +12,7 @@
 
 from berylbank_standins._internal.load import CallerConnection
 from berylbankd._internal import serving
+from berylbankd._internal.entry.app import EntryApp
 
 CHUNK = b"x" * 100
 CHUNK_COUNT = 30
@@ -261,3 +264,43 @@
 def step_application_response(context):
     results = list(context.server.results.values())
     assert results and results[0].startswith("HTTP/1.1 504"), results
+
+
+class WaitingEntryApp(EntryApp):
+    """The application for callers, whose requests wait for ever in a given state."""
+
+    def __init__(self, state):
+        self.tried_backends = ("server-0",) if state == "was sent to a server" else ()
+        clock = SimpleNamespace(now_ms=lambda: 0)
+        self.coordinator = SimpleNamespace(clock=clock, node=SimpleNamespace(leaving=True))
+        self.request_filters = self
+        self.running_requests = 0
+        self.started = anyio.Event()
+
+    async def check(self, exchange):
+        exchange.tried_backends = self.tried_backends
+        self.started.set()
+        await anyio.sleep_forever()
+
+
+@when("the process ends while a request of the own interface {state}")
+def step_process_ends(context, state):
+    server = context.server
+    server.app = WaitingEntryApp(state)
+
+    async def stop_while_waiting(_callers):
+        caller = server.connect()
+        caller.sendall(REQUEST)
+        await server.app.started.wait()
+        server.stop.set()
+        return [caller]
+
+    run_stop(server, stop_while_waiting, grace_ms=100)
+
+
+@then('the caller is told "{cause}" with "ran" set to "{ran}"')
+def step_told(context, cause, ran):
+    (response,) = context.server.results.values()
+    body = json.loads(response.partition("\r\n\r\n")[2] or "null")
+    assert body, response
+    assert (body["error"], body["ran"]) == (cause, ran), response
--- a/tests/unit/serving.feature
+++ b/tests/unit/serving.feature
@@ -26,3 +26,13 @@
     Given a server with 1 idle connections of callers
     When a request runs until the grace time of 300 ms ends
     Then the caller gets the application's response
+
+  Scenario Outline: a request <state> when the process ends is refused, and states whether it ran
+    Given a server with 0 idle connections of callers
+    When the process ends while a request of the own interface <state>
+    Then the caller is told "<cause>" with "ran" set to "<ran>"
+
+    Examples:
+      | state                | cause       | ran     |
+      | waits for a slot     | vm_stopping | no      |
+      | was sent to a server | deadline    | unknown |
