Wait for a server's own response after late ones and a refusal without an id

Callers got a 502 of the VM while their request's server was at work: on a connection in use, a refusal without an id, or a third late response to an earlier request, ended the attempt at once. Both are guesses at what the server will send next.

Now such responses are discarded and the one to the request is awaited. A refusal without an id may be that of this request: a read is sent to another server at once, as before, but beside the first; a booking waits for its server until the deadline and is never told that it did not run. Late responses without end still end an attempt, after 128 KiB, in place of a count of 2; that is a faulty server.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/attempts.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/attempts.py
@@ -62,9 +62,10 @@
     ``progress_s`` is when the request was sent or the last part of the response arrived, in seconds
     of the event loop. The server counts as silent ``silence_s`` after that, and another attempt is
     made then if ``retried_on_silence`` is set. ``silence_logged`` is set once it did, and
-    ``silence_recorded`` once that is on the server's record. ``may_have_run`` is set while it is
-    possible that the server ran the request. ``buffered_bytes`` is the size of the response that is
-    kept in memory.
+    ``silence_recorded`` once that is on the server's record. A ``doubtful`` attempt has got a
+    response that may be a refusal of its request or of an earlier one, and counts as silent.
+    ``may_have_run`` is set while it is possible that the server ran the request.
+    ``buffered_bytes`` is the size of the response that is kept in memory.
     """
 
     def __init__(self, pick: Pick, silence_s: float, *, retried_on_silence: bool) -> None:
@@ -74,6 +75,7 @@
         self.progress_s = math.inf
         self.silence_logged = False
         self.silence_recorded = False
+        self.doubtful = False
         self.may_have_run = False
         self.response: BufferedResponse | None = None
         self.failure: AttemptFailure | None = None
@@ -96,6 +98,8 @@
 
     def retry_at_s(self) -> float:
         """Return when another attempt is due if no part of a response arrives until then."""
+        if self.doubtful:
+            return self.progress_s
         return self.progress_s + self.silence_s if self.retried_on_silence else math.inf
 
 
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -49,8 +49,9 @@
 # Idle connections are dropped this long before the idle timeout that the server announced.
 IDLE_CLOSE_MARGIN_MS = 1_000
 MIN_SERVER_ERROR_STATUS = 500
-# The attempt fails after this many late responses to earlier requests on the same connection.
-MAX_STALE_RESPONSES = 2
+# The attempt fails after this much of late responses to earlier requests on the same connection; a
+# faulty server may send them without end.
+MAX_STALE_BYTES = 131_072
 REUSABLE_FAILURES = frozenset({None, AttemptFailure.NOT_RUN, AttemptFailure.SERVER_ERROR})
 
 
@@ -68,18 +69,19 @@
         self,
         request: OutgoingRequest,
         attempt: Attempt,
-        notify_sent: Callable[[Attempt], None],
+        notify: Callable[[Attempt], None],
     ) -> None:
         """Send a request to the server of an attempt, and set the attempt's response or failure.
 
-        ``notify_sent`` is called when the wait for the server begins.
+        ``notify`` is called when the wait for the server begins, and when it becomes doubtful
+        whether the server will answer.
 
         :raises CallerDisconnectedError: when the caller closes its connection during its body, or
             has closed it before the request is sent.
         """
         self.steering.record_dispatch(attempt.pick)
         try:
-            await self._connect_and_exchange(request, attempt, notify_sent)
+            await self._connect_and_exchange(request, attempt, notify)
         finally:
             self.steering.record_end(attempt.pick)
 
@@ -122,7 +124,7 @@
         self,
         request: OutgoingRequest,
         attempt: Attempt,
-        notify_sent: Callable[[Attempt], None],
+        notify: Callable[[Attempt], None],
     ) -> None:
         pick, exchange = attempt.pick, request.exchange
         address, started_ms = pick.server.registration.address, self.clock.now_ms()
@@ -161,7 +163,7 @@
             )
             # If the attempt is ended from outside, the request may have run.
             attempt.may_have_run = True
-            await self._send_and_receive(request, attempt, connection, notify_sent)
+            await self._send_and_receive(request, attempt, connection, notify)
             attempt.may_have_run = attempt.failure not in FAILURES_WITHOUT_RUN
             reusable = attempt.failure in REUSABLE_FAILURES
         finally:
@@ -185,14 +187,16 @@
         request: OutgoingRequest,
         attempt: Attempt,
         connection: BackendConnection,
-        notify_sent: Callable[[Attempt], None],
+        notify: Callable[[Attempt], None],
     ) -> None:
         """Set the attempt's response or failure, without any wait after the last byte was read."""
         exchange, pick, started_ms = request.exchange, attempt.pick, self.clock.now_ms()
         try:
-            await self._send_request(request, attempt, connection, notify_sent)
-            head, response_metadata = await self._receive_matching_head(exchange, connection)
-            attempt.progress_s = anyio.current_time()
+            await self._send_request(request, attempt, connection, notify)
+            head, response_metadata = await self._receive_matching_head(
+                request, attempt, connection, notify
+            )
+            attempt.progress_s, attempt.doubtful = anyio.current_time(), False
             self._apply_response_metadata(pick, connection, response_metadata, started_ms)
             if response_metadata.not_run:
                 attempt.failure = await self._handle_not_run(pick, connection, response_metadata)
@@ -283,7 +287,7 @@
         request: OutgoingRequest,
         attempt: Attempt,
         connection: BackendConnection,
-        notify_sent: Callable[[Attempt], None],
+        notify: Callable[[Attempt], None],
     ) -> None:
         exchange = request.exchange
         organisation = exchange.organisation.name if exchange.organisation else None
@@ -303,32 +307,43 @@
         body_known = exchange.body_complete
         if body_known:
             attempt.progress_s = anyio.current_time()
-            notify_sent(attempt)
+            notify(attempt)
         await connection.send_request(exchange.method, exchange.target, headers, body)
         if not body_known:
             attempt.progress_s = anyio.current_time()
-            notify_sent(attempt)
+            notify(attempt)
 
     async def _receive_matching_head(
-        self, exchange: CallerExchange, connection: BackendConnection
+        self,
+        request: OutgoingRequest,
+        attempt: Attempt,
+        connection: BackendConnection,
+        notify: Callable[[Attempt], None],
     ) -> tuple[ResponseHead, ResponseMetadata]:
         """Return the head of the response to this request, discarding those to earlier requests."""
-        for _ in range(MAX_STALE_RESPONSES + 1):
+        request_id = request.exchange.metadata.request_id
+        stale_bytes = 0
+        while True:
             head = await connection.receive_head()
             response_metadata = self.codec.decode_response(head.status, list(head.headers))
-            if response_metadata.request_id == exchange.metadata.request_id:
+            if response_metadata.request_id == request_id:
                 return head, response_metadata
             if not response_metadata.request_id and response_metadata.not_run:
-                # On a reused connection it may be the repeated refusal of an earlier request.
                 if not connection.reused:
                     return head, response_metadata
-                raise BackendConnectionError("refusal without id")
-            logger.warning(
-                "discarding late response to earlier request {}",
-                response_metadata.request_id.decode("latin-1"),
-            )
-            await connection.discard_response(MAX_DISCARDED_BODY_BYTES)
-        raise BackendConnectionError("crossed")
+                # It may be the repeated refusal of an earlier request, or the one of this request.
+                attempt.doubtful = True
+                notify(attempt)
+            if not stale_bytes:
+                logger.warning(
+                    "discarding late response of backend server {} to earlier request {}",
+                    attempt.pick.server.registration.id,
+                    response_metadata.request_id.decode("latin-1") or "without an id",
+                )
+            stale_bytes += sum(len(name) + len(value) for name, value in head.headers)
+            stale_bytes += await _discard_response(connection)
+            if stale_bytes > MAX_STALE_BYTES:
+                raise BackendConnectionError("crossed")
 
     def _apply_response_metadata(
         self,
@@ -400,6 +415,20 @@
         return BufferedResponse(head.status, headers, body)
 
 
+async def _discard_response(connection: BackendConnection) -> int:
+    """Read and discard a response to an earlier request, and return the size of its body.
+
+    :raises BackendConnectionError: when it is too long, or the server closes the connection.
+    """
+    size = 0
+    while (chunk := await connection.receive_chunk()) is not None:
+        size += len(chunk)
+        if size > MAX_DISCARDED_BODY_BYTES:
+            raise BackendConnectionError("body too long")
+    await connection.discard_response(0)
+    return size
+
+
 def _has_content_length(headers: Headers) -> bool:
     return any(name == b"content-length" for name, _ in headers)
 
--- a/tests/steps/silent_server_steps.py
+++ b/tests/steps/silent_server_steps.py
@@ -95,6 +95,13 @@
             await self.send(stream, make_refusal(""))
             await anyio.sleep(0.1)
             await self.send(stream, self.make_response(request_id, 200))
+        elif self.behaviour == "sends a refusal without an id and nothing else":
+            await self.send(stream, make_refusal(""))
+            await anyio.sleep_forever()
+        elif self.behaviour == "sends a refusal without an id and closes":
+            await self.send(stream, make_refusal(""))
+            await anyio.sleep(0.1)
+            await stream.aclose()
         elif self.behaviour == "sends late responses before it answers":
             for _ in range(LATE_RESPONSES):
                 await self.send(stream, self.make_response("earlier", 200))
--- a/tests/unit/ingress/silent_servers.feature
+++ b/tests/unit/ingress/silent_servers.feature
@@ -120,6 +120,29 @@
       | sends late responses before it answers             | reads |
       | sends late responses before it answers             | books |
 
+  Scenario Outline: a booking is not said to be refused by a server that <sends> on a connection in use
+    Given a first server that <sends>
+    And a second server that answers
+    And the VM has an idle connection to the first server
+    When a caller who waits 900 ms books
+    Then the caller gets <status> from the VM after <ms> ms
+    And the second server got 0 requests
+    And nothing of the request is left
+
+    Examples:
+      | sends                                          | status | ms  |
+      | sends a refusal without an id and nothing else | 504    | 880 |
+      | sends a refusal without an id and closes       | 502    | 100 |
+
+  Scenario: a read is sent to another server at once after a refusal without an id on a connection in use
+    Given a first server that sends a refusal without an id and nothing else
+    And a second server that answers
+    And the VM has an idle connection to the first server
+    When a caller who waits 900 ms reads
+    Then the caller gets the second server's answer
+    And the caller waited no longer than 200 ms
+    And nothing of the request is left
+
   Scenario: two silent servers end a request at its deadline, each with one failure on record
     Given a first server that never answers
     And a second server that never answers
