--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -90,13 +90,13 @@
 
 
 def end_read_at_stop(evidence, *, at_s, sent_s):
-    """Add a read that ends ``at_s`` after the SIGTERM of a VM with 6 s of grace time."""
-    evidence.stops.append(GracefulStop("vm-0", 20.0, 25.6, 6.0))
+    """Add a read that ends ``at_s`` after the SIGTERM of a VM with 5.4 s of grace time."""
+    evidence.stops.append(GracefulStop("vm-0", 20.0, 25.3, 5.4))
     return end_read(evidence, sent_s=20.0 + sent_s, after_s=at_s - sent_s)
 
 
-def end_read_after_pause(evidence, pause_end_s):
-    evidence.disturbances.append(Disturbance("vm-0", pause_end_s - 1, pause_end_s, True))
+def end_read_after_pause(evidence, pause_end_s, halted=True):
+    evidence.disturbances.append(Disturbance("vm-0", pause_end_s - 1, pause_end_s, halted))
     return end_read(evidence)
 
 
@@ -114,9 +114,11 @@
     "a read closed without an answer that was running": lambda e: end_read(
         e, status=0, failure="ReadError"
     ),
-    "a read ended by a stop too early": lambda e: end_read_at_stop(e, at_s=4.9, sent_s=2.95),
-    "a late read ended by a stop": lambda e: end_read_at_stop(e, at_s=5.1, sent_s=3.2),
+    "a read ended by a stop too early": lambda e: end_read_at_stop(e, at_s=4.45, sent_s=2.95),
+    "a late read ended by a stop": lambda e: end_read_at_stop(e, at_s=4.6, sent_s=3.1),
     "a read ended long after a pause": lambda e: end_read_after_pause(e, 15.9),
+    "a read ended at a VM without the store": lambda e: end_read_after_pause(e, 20.5, False),
+    "a read refused with 429 that was running": lambda e: end_read(e, status=429),
     "a read ended while another server's link was reset": lambda e: end_read_at_reset(e, "s2"),
     "a read answered with 504 at its route's timeout": lambda e: end_read(
         e, status=504, after_s=2.0
@@ -131,7 +133,7 @@
     "a read whose connection had died": lambda e: end_read(e, "silent"),
     "a read answered with 502 as its link was reset": lambda e: end_read_at_reset(e, "s1"),
     "a read ended by a stop in the last sixth of its time": lambda e: end_read_at_stop(
-        e, at_s=5.1, sent_s=3.0
+        e, at_s=4.55, sent_s=2.95
     ),
     "a read ended at a VM that was paused": lambda e: end_read_after_pause(e, 20.5),
 }
--- a/tests/unit/soak/checks.feature
+++ b/tests/unit/soak/checks.feature
@@ -26,6 +26,8 @@
       | a read ended by a stop too early                   | was running at s1           |
       | a late read ended by a stop                        | was running at s1           |
       | a read ended long after a pause                    | was running at s1           |
+      | a read ended at a VM without the store             | was running at s1           |
+      | a read refused with 429 that was running           | got 429                     |
       | a read ended while another server's link was reset | was running at s1           |
 
   Scenario: time limits do not apply to a VM that was paused shortly before
--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -154,12 +154,16 @@
 
 
 def find_phase(request: RequestRecord, stops: Sequence[GracefulStop], noticed: list[float]) -> str:
-    """Return the phase of a request; ``noticed`` has the times at which its VM noticed a signal."""
+    """Return the phase of a request; ``noticed`` has the times at which its VM noticed a signal.
+
+    They are in the order of the VM's stops.
+    """
     phase = "calm"
-    for stop in stops:
-        if stop.vm != request.vm or request.ended_s < stop.start_s:
-            continue
-        noticed_s = min((at_s for at_s in noticed if at_s >= stop.start_s), default=stop.end_s)
+    own_stops = sorted(stop for stop in stops if stop.vm == request.vm)
+    for number, stop in enumerate(own_stops):
+        if request.ended_s < stop.start_s:
+            break
+        noticed_s = noticed[number] if number < len(noticed) else stop.end_s
         if request.ended_s <= noticed_s:
             phase = "before the signal is noticed"
         elif request.sent_s <= stop.end_s:
