--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -144,6 +144,7 @@
     broken_off: int
     attempts_per_request: float
     silent_reads: int
+    silent_reads_served: int
     silent_median_s: float
     silent_p99_s: float
     stop_median_s: float
@@ -199,11 +200,12 @@
     states: dict[str, list[str]] = {}
     for work in evidence.work:
         states.setdefault(work.record.request_id, []).append(work.record.state)
-    silent_s = [
-        request.ended_s - request.sent_s
+    silent_reads = [
+        request
         for request in evidence.requests
         if not request.unsafe and "silent" in states.get(request.request_id, ())
     ]
+    silent_s = [request.ended_s - request.sent_s for request in silent_reads]
     broken_off = sum(bool({"queued", "running"} & set(found)) for found in states.values())
     return Report(
         seed,
@@ -214,6 +216,7 @@
         broken_off,
         round(len(evidence.work) / max(1, len(states)), 4),
         len(silent_s),
+        sum(request.signed for request in silent_reads),
         round(median(silent_s), 3) if silent_s else 0.0,
         round(quantiles(silent_s, n=100)[-1], 3) if len(silent_s) > 1 else 0.0,
         round(median(stop.end_s - stop.start_s for stop in evidence.stops), 2),
