--- a/tools/soak/restarts.py
+++ b/tools/soak/restarts.py
@@ -144,6 +144,7 @@
     broken_off: int
     attempts_per_request: float
     silent_reads: int
+    silent_reads_served: int
     silent_median_s: float
     silent_p99_s: float
     stop_median_s: float
@@ -154,12 +155,16 @@
 
 
 def find_phase(request: RequestRecord, stops: Sequence[GracefulStop], noticed: list[float]) -> str:
-    """Return the phase of a request; ``noticed`` has the times at which its VM noticed a signal."""
+    """Return the phase of a request; ``noticed`` has the times at which its VM noticed a signal.
+
+    They are in the order of the VM's stops.
+    """
     phase = "calm"
-    for stop in stops:
-        if stop.vm != request.vm or request.ended_s < stop.start_s:
-            continue
-        noticed_s = min((at_s for at_s in noticed if at_s >= stop.start_s), default=stop.end_s)
+    own_stops = sorted(stop for stop in stops if stop.vm == request.vm)
+    for number, stop in enumerate(own_stops):
+        if request.ended_s < stop.start_s:
+            break
+        noticed_s = noticed[number] if number < len(noticed) else stop.end_s
         if request.ended_s <= noticed_s:
             phase = "before the signal is noticed"
         elif request.sent_s <= stop.end_s:
@@ -195,11 +200,12 @@
     states: dict[str, list[str]] = {}
     for work in evidence.work:
         states.setdefault(work.record.request_id, []).append(work.record.state)
-    silent_s = [
-        request.ended_s - request.sent_s
+    silent_reads = [
+        request
         for request in evidence.requests
         if not request.unsafe and "silent" in states.get(request.request_id, ())
     ]
+    silent_s = [request.ended_s - request.sent_s for request in silent_reads]
     broken_off = sum(bool({"queued", "running"} & set(found)) for found in states.values())
     return Report(
         seed,
@@ -210,6 +216,7 @@
         broken_off,
         round(len(evidence.work) / max(1, len(states)), 4),
         len(silent_s),
+        sum(request.signed for request in silent_reads),
         round(median(silent_s), 3) if silent_s else 0.0,
         round(quantiles(silent_s, n=100)[-1], 3) if len(silent_s) > 1 else 0.0,
         round(median(stop.end_s - stop.start_s for stop in evidence.stops), 2),
