Refuse what still waits for its admission when a stop ends, and what comes after the last start

Callers whose request waited for processor time (up to an eighth of their deadline) or for a token when a VM's stop ended were in no scope that the end of a stop cancels: the request had been read, and its connection ended with the process. A request that came after the last start waited for both before it was refused.

The three scenarios of stop_admission.feature failed before: the answer came after 10 s. Admission and body now share the one scope that the body alone had. The check of a request at a stop is that of the plan (may_start), which the plan's own table plays; longest_request_ms, which nothing calls any more, is gone.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -62,9 +62,9 @@
 class CallerApp:
     """Serves callers' requests. ``stop_plan`` is set while the VM is stopping.
 
-    ``deadline_scopes`` holds the cancel scope of each request that waits for its body or for a
-    server; cancelling it has the same effect as the deadline of that wait. ``longest_delivery_ms``
-    is how long the slowest recent caller took to read its response.
+    ``deadline_scopes`` holds the cancel scope of each request that waits for its admission, its body
+    or a server; cancelling it has the same effect as the deadline of that wait.
+    ``longest_delivery_ms`` is how long the slowest recent caller took to read its response.
     """
 
     def __init__(
@@ -93,7 +93,7 @@
         self.stop_plan = plan
 
     def expire_deadlines(self) -> None:
-        """End the wait of every request for its body or a server now, so that each is answered."""
+        """End the wait of every request for admission or a server now, so that each is answered."""
         for deadline_scope in list(self.deadline_scopes):
             deadline_scope.cancel()
 
@@ -133,32 +133,41 @@
         await self.intake.run()
 
     async def _serve_exchange(self, exchange: CallerExchange, attempts: RequestAttempts) -> None:
+        admitted: AdmittedRequest | Refusal | None = None
+        try:
+            with self._end_with_stop(anyio.CancelScope()) as admission_scope:
+                admitted = await self._admit_with_body(exchange)
+        except CallerDisconnectedError:
+            return
+        if admission_scope.cancelled_caught:
+            admitted = make_stop_refusal()
+        if admitted is None:
+            await self._end_without_caller(exchange, attempts)
+        elif isinstance(admitted, Refusal):
+            await self._send_result(exchange, attempts, admitted)
+        else:
+            await self._dispatch(exchange, admitted, attempts)
+
+    async def _admit_with_body(self, exchange: CallerExchange) -> AdmittedRequest | Refusal | None:
+        """Admit a request and receive its body; return None if its caller has gone.
+
+        :raises CallerDisconnectedError: when the caller closes its connection during its body.
+        """
+        if self.stop_plan is not None and self.clock.now_ms() > self.stop_plan.last_start_ms:
+            return make_stop_refusal()
         if not await self.intake.admit(exchange.arrived_ms, get_caller_deadline_ms(exchange)):
             retry_after_s = self.steering.retry_delays.next_delay_ms(OVERLOAD_RETRY_MS) / 1000
-            refusal = Refusal(RefusalKind.VM_OVERLOADED, retry_after_s=retry_after_s)
-            await self._send_result(exchange, attempts, refusal)
-            return
+            return Refusal(RefusalKind.VM_OVERLOADED, retry_after_s=retry_after_s)
         if not exchange.is_connected():
-            await self._end_without_caller(exchange, attempts)
-            return
+            return None
         admitted = await self._admit(exchange)
         if isinstance(admitted, Refusal):
-            await self._send_result(exchange, attempts, admitted)
-            return
+            return admitted
         try:
-            with self._end_with_stop(anyio.CancelScope()) as body_scope:
-                await exchange.buffer_body()
-        except CallerDisconnectedError:
-            return
+            await exchange.buffer_body()
         except TimeoutError:
-            refusal = Refusal(RefusalKind.CALLER_TOO_SLOW)
-            await self._send_result(exchange, attempts, refusal)
-            return
-        if body_scope.cancelled_caught:
-            refusal = Refusal(RefusalKind.VM_STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S)
-            await self._send_result(exchange, attempts, refusal)
-            return
-        await self._dispatch(exchange, admitted, attempts)
+            return Refusal(RefusalKind.CALLER_TOO_SLOW)
+        return admitted
 
     async def _answer_after_fault(
         self, exchange: CallerExchange, attempts: RequestAttempts, error: Exception
@@ -226,8 +235,7 @@
         timeout_ms = min(caller_wait_ms, route.timeout_ms)
         deadline_ms = exchange.arrived_ms + timeout_ms
         if not self._can_finish(service, deadline_ms):
-            refusal = Refusal(RefusalKind.VM_STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S)
-            await self._send_result(exchange, attempts, refusal)
+            await self._send_result(exchange, attempts, make_stop_refusal())
             return
         pick_request = PickRequest(
             route,
@@ -248,18 +256,9 @@
         """Tell whether a request would end before a stopping VM ends what is still running."""
         if self.stop_plan is None:
             return True
-        now_ms = self.clock.now_ms()
-        if now_ms > self.stop_plan.last_start_ms:
-            return False
         longest_ms = SERVICE_TIME_MARGIN * self.steering.longest_service_ms(service)
         longest_ms += self.longest_delivery_ms
-        return min(deadline_ms, now_ms + longest_ms) <= self.stop_plan.end_ms
-
-    def longest_request_ms(self) -> int:
-        """Return the time that a stopping VM must have left for a request of any service."""
-        services = self.steering.longest_recent_ms
-        longest_ms = max(map(self.steering.longest_service_ms, services), default=0.0)
-        return int(SERVICE_TIME_MARGIN * longest_ms + self.longest_delivery_ms)
+        return self.stop_plan.may_start(self.clock.now_ms(), deadline_ms, longest_ms)
 
     async def _end_without_caller(
         self, exchange: CallerExchange, attempts: RequestAttempts
@@ -378,6 +377,11 @@
         )
 
 
+def make_stop_refusal() -> Refusal:
+    """Return the refusal of a request that a stopping VM has not sent to any server."""
+    return Refusal(RefusalKind.VM_STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S)
+
+
 def get_caller_deadline_ms(exchange: CallerExchange) -> int:
     """Return how long the caller waits for the response."""
     return exchange.metadata.deadline_ms or DEFAULT_CALLER_DEADLINE_MS
