--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -62,8 +62,8 @@
 class CallerApp:
     """Serves callers' requests. ``stop_plan`` is set while the VM is stopping.
 
-    ``deadline_scopes`` holds the cancel scope of each request that waits for its admission, its body
-    or a server; cancelling it has the same effect as the deadline of that wait.
+    ``deadline_scopes`` holds the cancel scope of each request that waits for its admission, its
+    body or a server; cancelling it has the same effect as the deadline of that wait.
     ``longest_delivery_ms`` is how long the slowest recent caller took to read its response.
     """
 
