Let a server end by its own deadline before the VM answers in its place

Callers got 504 of the VM 20 ms before their deadline, at the very moment at which the server had been told to end: its own answer in the last milliseconds was overtaken. The VM now tells servers the same deadline as before (20 ms before the caller's, or the route's timeout), and answers itself 5 ms before the caller's deadline, or at the route's timeout.

Found by asking which of the VM's timers end work at a server early; not seen in a run of processes.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -29,8 +29,10 @@
 from berylbankd._internal.steering.steering import Steering
 from berylbankd._internal.supervision import describe_error
 
-# Subtracted from the caller's deadline, so that the response arrives before the caller gives up.
-RESPONSE_MARGIN_MS = 20
+# Subtracted from the caller's deadline in what servers are told, so that their response arrives
+# before the caller gives up, and before this VM answers in their place.
+SERVER_MARGIN_MS = 20
+ANSWER_MARGIN_MS = 5
 # Used if the caller sent no deadline, so that the route's timeout applies.
 DEFAULT_CALLER_DEADLINE_MS = 3_600_000
 STARTUP_RETRY_AFTER_S = 0.5
@@ -231,9 +233,9 @@
         route = admitted.route
         service = self.steering.choose_service(route)
         self.steering.record_arrival(service)
-        caller_wait_ms = get_caller_deadline_ms(exchange) - RESPONSE_MARGIN_MS
-        timeout_ms = min(caller_wait_ms, route.timeout_ms)
-        deadline_ms = exchange.arrived_ms + timeout_ms
+        caller_wait_ms = get_caller_deadline_ms(exchange)
+        deadline_ms = exchange.arrived_ms + min(caller_wait_ms - ANSWER_MARGIN_MS, route.timeout_ms)
+        server_wait_ms = min(caller_wait_ms - SERVER_MARGIN_MS, route.timeout_ms)
         if not self._can_finish(service, deadline_ms):
             await self._send_result(exchange, attempts, make_stop_refusal())
             return
@@ -243,9 +245,10 @@
             exchange.metadata.object_key,
             admitted.regions,
             frozenset(),
-            timeout_ms,
+            server_wait_ms,
         )
-        request = OutgoingRequest(exchange, pick_request, deadline_ms, attempts)
+        server_deadline_ms = exchange.arrived_ms + server_wait_ms
+        request = OutgoingRequest(exchange, pick_request, deadline_ms, server_deadline_ms, attempts)
         result = await AttemptRace(self.dispatcher, request).run(self.deadline_scopes)
         if result is None:
             await self._end_without_caller(exchange, attempts)
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/attempts.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/attempts.py
@@ -139,9 +139,14 @@
 
 
 class OutgoingRequest(NamedTuple):
-    """An admitted request on its way to backend servers; ``deadline_ms`` is a time of the clock."""
+    """An admitted request on its way to backend servers.
+
+    ``deadline_ms`` is when its caller gets an answer at the latest, and ``server_deadline_ms`` what
+    servers are told, so that theirs comes first; both are times of the clock.
+    """
 
     exchange: CallerExchange
     pick_request: PickRequest
     deadline_ms: int
+    server_deadline_ms: int
     attempts: RequestAttempts
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -59,7 +59,7 @@
         if not self.server_exchange.is_key_valid(request.exchange):
             return RetryDenial.KEY_WITHDRAWN
         retry_budget = self.steering.retry_budget(pick_request.service)
-        remaining_ms = request.deadline_ms - self.clock.now_ms()
+        remaining_ms = request.server_deadline_ms - self.clock.now_ms()
         costs_credit = bool(attempts.started) and (
             failed is None or failed.failure is not AttemptFailure.NOT_SENT
         )
@@ -99,7 +99,7 @@
             HANG_LATENCY_FACTOR * self.steering.expected_service_ms(request.pick_request.service),
             HANG_OBJECTIVE_FACTOR * route.objective_ms,
         )
-        remaining_ms = request.deadline_ms - self.clock.now_ms()
+        remaining_ms = request.server_deadline_ms - self.clock.now_ms()
         attempt = Attempt(
             pick,
             silence_ms / 1000,
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -295,7 +295,7 @@
             exchange.headers,
             DispatchMetadata(
                 attempt.pick.server.registration.id,
-                request.deadline_ms - self.clock.now_ms(),
+                request.server_deadline_ms - self.clock.now_ms(),
                 organisation,
             ),
         )
--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -73,6 +73,7 @@
     def __init__(self, script):
         self.script = script
         self.sent_bytes = 0
+        self.last_request = b""
 
     async def handle(self, stream):
         async with stream:
@@ -97,6 +98,7 @@
         data = b""
         while b"\r\n\r\n" not in data:
             data += await stream.receive()
+        self.last_request = data
         for line in data.split(b"\r\n"):
             if line.lower().startswith(b"x-request-id:"):
                 return line.split(b":")[1].strip().decode()
--- a/tests/steps/silent_server_steps.py
+++ b/tests/steps/silent_server_steps.py
@@ -303,6 +303,13 @@
     assert ms - 50 <= context.scene.took_ms <= ms + 150, context.scene.took_ms
 
 
+@then("the first server was told to end {ms:d} ms before the caller's answer")
+def step_told(context, ms):
+    lines = context.scene.servers[0].last_request.lower().split(b"\r\n")
+    told_ms = next(int(line.split(b":")[1]) for line in lines if line.startswith(b"x-deadline-ms:"))
+    assert told_ms + ms <= context.scene.took_ms, (told_ms, context.scene.took_ms)
+
+
 @then("the caller waited no longer than {ms:d} ms")
 def step_waited(context, ms):
     assert context.scene.took_ms <= ms, context.scene.took_ms
