Failing scenario: requests whose server falls silent together overfill the next one

Callers: refused by a full server, and retry credit spent. Cause: a further attempt's server is chosen in ingress/race.py, but its load is counted only when the attempt's own task runs, a pass of the event loop later, so that every request whose check falls into that pass chooses the same server.

--- /dev/null
+++ b/tests/unit/ingress/attempts_together.feature
@@ -0,0 +1,7 @@
+Feature: Requests and attempts beside each other while backend servers are silent
+
+  # Issue 40: the load of a server that is about to get a further attempt is not counted yet.
+  Scenario: requests whose server falls silent together do not overfill the next one
+    Given two servers, of which the first never answers and the second has one slot after 600 ms
+    When 20 callers who wait 1500 ms read at once
+    Then the second server had no more than 2 requests at a time
