Failing scenario: reads that wait for a silent server raise the share of a new version

Each look for room, every 100 ms for each request, calls Release.choose_version, which earns credit for the new version; the credit is not spent while no server is found.

--- a/tests/unit/ingress/attempts_together.feature
+++ b/tests/unit/ingress/attempts_together.feature
@@ -5,3 +5,9 @@
     Given two servers, of which the first never answers and the second has one slot after 600 ms
     When 20 callers who wait 1500 ms read at once
     Then the second server had no more than 2 requests at a time
+
+  # Issue 40: each look for room while servers are silent counts as a request of the release.
+  Scenario: reads that wait for a silent server do not raise the share of a new version
+    Given two servers, of which the first never answers and the second has the new version
+    When 20 callers who wait 3000 ms read at once
+    Then the second server got no more than its share of 40 attempts and one
