Failing scenario: an error while a response is decoded ends the attempts beside it

The header codec raises ValueError for numbers of more than 4,300 digits. The error leaves the attempt's task, cancels the race, and with it the attempt at the server that is at work; the caller gets 502.

--- a/tests/unit/ingress/attempts_together.feature
+++ b/tests/unit/ingress/attempts_together.feature
@@ -11,3 +11,14 @@
     Given two servers, of which the first never answers and the second has the new version
     When 20 callers who wait 3000 ms read at once
     Then the second server got no more than its share of 40 attempts and one
+
+  # Issue 40: an error in one attempt ends the others, which are at work.
+  Scenario Outline: a server at work is not given up for one that sends a <header> of 5000 digits
+    Given a server that answers after 600 ms, and one that sends a <header> of 5000 digits
+    When a caller who waits 1500 ms reads from one of them
+    Then the caller has the answer of the server at work
+
+    Examples:
+      | header        |
+      | x-server-load |
+      | keep-alive    |
