--- a/tests/unit/ingress/attempts_together.feature
+++ b/tests/unit/ingress/attempts_together.feature
@@ -22,3 +22,9 @@
       | header        |
       | x-server-load |
       | keep-alive    |
+
+  # Issue 40: a late response that is too long to discard ends the attempt of the next request.
+  Scenario: a server that sends a long late response before it answers is still at work
+    Given a server with an idle connection that sends 70000 late bytes before it answers
+    When a caller who waits 1500 ms reads from one of them
+    Then the caller has the answer of the server at work
