Failing scenario: the head of another response ends a server at work of the own interface

The first head with a success decides a race in entry/dispatch.py, which closes the connection of the server at work. If the body then does not come, the caller gets a cut response.

--- /dev/null
+++ b/tests/steps/own_cut_steps.py
@@ -0,0 +1,81 @@
+"""Steps on servers of the own interface that are broken off by what happens beside them."""
+
+import re
+
+import anyio
+from behave import given, then, when
+
+from berylbankd._internal.backends.deadlines import DeadlineMonitor
+from tests.steps.entry_silent_server_steps import Server
+
+NOW_MS = 10_000
+
+
+class HeadServer(Server):
+    """Sends the head of a response, and closes the connection after ``pause_s``."""
+
+    pause_s = 0.0
+
+    async def respond(self, stream):
+        await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n")
+        await anyio.sleep(self.pause_s)
+        return False
+
+
+class ExpiredConnection:
+    """A connection whose deadline has passed; closing it takes a pass of the event loop."""
+
+    def __init__(self, on_close=None):
+        self.deadline_ms = NOW_MS - 1
+        self.response_started = False
+        self.timed_out = self.closed = False
+        self.on_close = on_close
+
+    async def aclose(self):
+        await anyio.sleep(0)
+        if self.on_close is not None:
+            self.on_close()
+        self.closed = True
+
+
+class FixedClock:
+    """A clock that stands still."""
+
+    def now_ms(self):
+        return NOW_MS
+
+
+@given("the other server sends the head of a response and {behaviour}")
+def step_head(context, behaviour):
+    server = context.run.other = HeadServer("other")
+    if found := re.search(r"(\d+) ms", behaviour):
+        server.pause_s = int(found[1]) / 1000
+
+
+@given("two connections whose deadlines have expired")
+def step_expired(context):
+    context.connections = [ExpiredConnection(), ExpiredConnection()]
+
+
+@when("the second one carries another request before the first one is closed")
+def step_reuse(context):
+    first, second = context.connections
+    monitor = DeadlineMonitor(FixedClock())
+    # A set has no order, so each one may be the first.
+    monitor.active_connections.update(context.connections)
+    context.reused = []
+
+    def reuse(other):
+        if not other.closed:
+            # As when its response has ended, and the next request is sent on it.
+            other.deadline_ms = NOW_MS + 1_000
+            context.reused.append(other)
+
+    first.on_close, second.on_close = (lambda: reuse(second)), (lambda: reuse(first))
+    anyio.run(monitor.close_expired)
+
+
+@then("only the first one was closed")
+def step_one_closed(context):
+    (reused,) = context.reused
+    assert not reused.closed and not reused.timed_out
--- /dev/null
+++ b/tests/unit/entry/cut_beside.feature
@@ -0,0 +1,14 @@
+Feature: Servers of the own interface at work beside another attempt, or beside an expired connection
+
+  # Issue 40: the head of the other server's response ended the wait, and its body never came.
+  Scenario Outline: a server at work is not given up for the head of a response that <breaks off>
+    Given a service with a timeout of 3000 ms and a first server that has answered on a connection
+    And the first server answers in 1200 ms from now on
+    And the other server sends the head of a response and <breaks off>
+    When a caller sends a lookup
+    Then the caller gets the answer of the first server
+
+    Examples:
+      | breaks off           |
+      | closes               |
+      | is silent for 1000 ms, and closes |
