Failing scenario: a connection is closed for a deadline that it no longer has

DeadlineMonitor chooses the connections to close, then awaits the close of each. One that gets its response meanwhile, and is reused or still delivers its body, is closed as expired. Shown on the component alone, not with a whole request.

--- a/tests/unit/entry/cut_beside.feature
+++ b/tests/unit/entry/cut_beside.feature
@@ -12,3 +12,9 @@
       | breaks off           |
       | closes               |
       | is silent for 1000 ms, and closes |
+
+  # Issue 40: connections to be closed were chosen before those ahead of them were closed.
+  Scenario: a connection that is reused while another expired one is being closed stays open
+    Given two connections whose deadlines have expired
+    When the second one carries another request before the first one is closed
+    Then only the first one was closed
