Failing scenario: an absurd load in a server's response ends requests at other servers

A server that reports a load of some 400 digits makes steering.pick raise OverflowError. The check for room of a request that is at work elsewhere then ends its attempts, and the caller gets 502 vm_fault_after_send. The response's headers come from a server and may hold anything.

--- a/tests/steps/together_steps.py
+++ b/tests/steps/together_steps.py
@@ -3,6 +3,7 @@
 import anyio
 from behave import given, then, when
 
+from berylbank._internal.utils.clock import BootClock
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.types import ReleaseOrder
 from berylbankd._internal.steering.releases import Release
@@ -51,6 +52,7 @@
         self.callers = 1
         self.rows = []
         self.release = None
+        self.reported_load = None
 
     def add(self, behaviour, slots=4, version="v1"):
         self.servers.append(TogetherServer(f"server {len(self.servers)}", behaviour))
@@ -82,6 +84,10 @@
             for number in range(self.callers):
                 scope = make_scope(f"r{number}", "GET", wait_ms)
                 group.start_soon(self.app, scope, self.caller.receive, self.caller.send)
+            if self.reported_load is not None:
+                await anyio.sleep(0.1)
+                state = self.servers[1].state
+                state.record_load_report(self.reported_load, 0, BootClock().now_ms())
         await self.app.dispatcher.connection_pool.aclose()
 
 
@@ -108,6 +114,14 @@
     scene.add(f"digits in {header}")
 
 
+@given("a server that answers after {ms:d} ms, and one that reports a load of {digits:d} digits")
+def step_load(context, ms, digits):
+    scene = context.scene = TogetherScene()
+    scene.add(f"answers after {ms} ms")
+    scene.add("answers")
+    scene.reported_load = int("9" * digits)
+
+
 @given("a server with an idle connection that sends 70000 late bytes before it answers")
 def step_late_bytes(context):
     scene = context.scene = TogetherScene()
--- a/tests/unit/ingress/attempts_together.feature
+++ b/tests/unit/ingress/attempts_together.feature
@@ -28,3 +28,9 @@
     Given a server with an idle connection that sends 70000 late bytes before it answers
     When a caller who waits 1500 ms reads from one of them
     Then the caller has the answer of the server at work
+
+  # Issue 40: an error while another server is chosen ends the attempt that is at work.
+  Scenario: a server at work is not given up when another one has reported an absurd load
+    Given a server that answers after 600 ms, and one that reports a load of 400 digits
+    When a caller who waits 1500 ms reads from one of them
+    Then the caller has the answer of the server at work
