--- /dev/null
+++ b/tests/unit/entry/cut_beside.feature
@@ -0,0 +1,20 @@
+Feature: Servers of the own interface at work beside another attempt, or beside an expired connection
+
+  # Issue 40: the head of the other server's response ended the wait, and its body never came.
+  Scenario Outline: a server at work is not given up for the head of a response that <breaks off>
+    Given a service with a timeout of 3000 ms and a first server that has answered on a connection
+    And the first server answers in 1200 ms from now on
+    And the other server sends the head of a response and <breaks off>
+    When a caller sends a lookup
+    Then the caller gets the answer of the first server
+
+    Examples:
+      | breaks off           |
+      | closes               |
+      | is silent for 1000 ms, and closes |
+
+  # Issue 40: connections to be closed were chosen before those ahead of them were closed.
+  Scenario: a connection that is reused while another expired one is being closed stays open
+    Given two connections whose deadlines have expired
+    When the second one carries another request before the first one is closed
+    Then only the first one was closed
