Ignore numbers of absurd length in the headers of servers and callers

Callers got 502 vm_fault_after_send while another server was at work on their request, if a server sent a load or an idle timeout of thousands of digits: the interpreter refuses to convert them, and the error left the attempt. Numbers of more than 15 digits are invalid, in X-Deadline-Ms of callers too.

--- a/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
@@ -28,6 +28,9 @@
 )
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
+# Longer numbers are invalid: the interpreter refuses to convert those of thousands of digits, and
+# arithmetic with floating-point numbers fails from some hundred on.
+MAX_NUMBER_DIGITS = 15
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -42,7 +45,7 @@
             host=by_name.get(b"host", b"").decode("latin-1").lower(),
             key=by_name.get(names.API_KEY_HEADER, b"").decode("latin-1"),
             object_key=_parse_object_key(by_name.get(b"cookie", b"")),
-            deadline_ms=_parse_ms(by_name.get(names.DEADLINE_MS_HEADER)),
+            deadline_ms=_parse_integer(by_name.get(names.DEADLINE_MS_HEADER)),
         )
 
     def encode_request(self, headers: HeaderList, metadata: DispatchMetadata) -> HeaderList:
@@ -94,8 +97,9 @@
     return cookie_item.value if cookie_item is not None else ""
 
 
-def _parse_ms(value: bytes | None) -> int | None:
-    if value is None or not value.isdigit():
+def _parse_integer(value: bytes | None) -> int | None:
+    """Return a number without a sign, or None if there is no valid one of sensible length."""
+    if value is None or not value.isdigit() or len(value) > MAX_NUMBER_DIGITS:
         return None
     return int(value)
 
@@ -122,12 +126,12 @@
 
 def _parse_load(value: bytes | None) -> ReportedLoad | None:
     parts = (value or b"").split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ReportedLoad(running, waiting, slots)
+    numbers = [_parse_integer(part.strip()) for part in parts]
+    valid = [number for number in numbers if number is not None]
+    return ReportedLoad(*valid) if len(numbers) == len(valid) == 3 else None
 
 
 def _parse_idle_timeout_ms(value: bytes | None) -> int | None:
     match = KEEP_ALIVE_TIMEOUT_PATTERN.search(value or b"")
-    return int(match.group(1)) * 1000 if match else None
+    timeout_s = _parse_integer(match.group(1)) if match else None
+    return timeout_s * 1000 if timeout_s is not None else None
