--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -125,6 +125,11 @@
             return VersionPreference(False, False)
         return VersionPreference(True, self.step < LAST_STEP)
 
+    def return_credit(self) -> None:
+        """Take back the credit of a request for which a version was chosen but no server found."""
+        if not self.rolled_back and not self.succeeded:
+            self.new_version_credit -= self.current_share()
+
     def _is_eligible(self, object_key: str) -> bool:
         """Tell whether an object's requests may go to the new version, the same on all VMs."""
         eligible_share = ELIGIBLE_OBJECTS_RATIO * self.current_share()
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -111,6 +111,8 @@
         pick = self._pick_version(request, preference.prefer_new, now_ms)
         if pick is None and preference.allow_fallback:
             pick = self._pick_version(request, not preference.prefer_new, now_ms)
+        if pick is None:
+            release.return_credit()
         return pick
 
     def choose_service(self, route: Route) -> str:
