Count a request at its server as soon as the server is chosen

The attempt is counted when it is made, and its end once, also if its task was cancelled before it started.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/attempts.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/attempts.py
@@ -65,7 +65,8 @@
     ``silence_recorded`` once that is on the server's record. A ``doubtful`` attempt has got a
     response that may be a refusal of its request or of an earlier one, and counts as silent.
     ``may_have_run`` is set while it is possible that the server ran the request.
-    ``buffered_bytes`` is the size of the response that is kept in memory.
+    ``buffered_bytes`` is the size of the response that is kept in memory. ``ended`` is set once its
+    server no longer counts it as running.
     """
 
     def __init__(self, pick: Pick, silence_s: float, *, retried_on_silence: bool) -> None:
@@ -80,6 +81,7 @@
         self.response: BufferedResponse | None = None
         self.failure: AttemptFailure | None = None
         self.buffered_bytes = 0
+        self.ended = False
 
     @property
     def pending(self) -> bool:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/dispatch.py
@@ -93,7 +93,7 @@
         return None
 
     def make_attempt(self, request: OutgoingRequest, pick: Pick) -> Attempt:
-        """Add an attempt at a chosen server to those of a request."""
+        """Add an attempt at a chosen server to those of a request, which the server counts."""
         route, started = request.pick_request.route, request.attempts.started
         silence_ms = max(
             HANG_LATENCY_FACTOR * self.steering.expected_service_ms(request.pick_request.service),
@@ -108,6 +108,7 @@
             and remaining_ms - silence_ms >= route.objective_ms,
         )
         started.append(attempt)
+        self.steering.record_dispatch(pick)
         return attempt
 
     def make_final_result(self, request: OutgoingRequest) -> BufferedResponse | Refusal:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
@@ -65,6 +65,8 @@
                 await self._attempt_in_sequence(None)
         finally:
             deadline_scopes.discard(scope)
+            for attempt in self.attempts.started:
+                self.dispatcher.server_exchange.record_end(attempt)
         if self.result is None:
             self.result = self._find_success()
         if self.result is None and not self.caller_left:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -79,10 +79,15 @@
         :raises CallerDisconnectedError: when the caller closes its connection during its body, or
             has closed it before the request is sent.
         """
-        self.steering.record_dispatch(attempt.pick)
         try:
             await self._connect_and_exchange(request, attempt, notify)
         finally:
+            self.record_end(attempt)
+
+    def record_end(self, attempt: Attempt) -> None:
+        """Count an attempt as ended, once; its task may have been cancelled before it started."""
+        if not attempt.ended:
+            attempt.ended = True
             self.steering.record_end(attempt.pick)
 
     def is_key_valid(self, exchange: CallerExchange) -> bool:
