Bound late responses of a server by one limit

There is one limit now. Each response counts with its status line at least, so that one without headers and body can't be repeated without end.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -52,6 +52,8 @@
 # The attempt fails after this much of late responses to earlier requests on the same connection; a
 # faulty server may send them without end.
 MAX_STALE_BYTES = 131_072
+# Shortest status line of a response, which may have no headers and no body.
+STATUS_LINE_BYTES = 17
 REUSABLE_FAILURES = frozenset({None, AttemptFailure.NOT_RUN, AttemptFailure.SERVER_ERROR})
 
 
@@ -345,10 +347,9 @@
                     attempt.pick.server.registration.id,
                     response_metadata.request_id.decode("latin-1") or "without an id",
                 )
+            stale_bytes += STATUS_LINE_BYTES
             stale_bytes += sum(len(name) + len(value) for name, value in head.headers)
-            stale_bytes += await _discard_response(connection)
-            if stale_bytes > MAX_STALE_BYTES:
-                raise BackendConnectionError("crossed")
+            stale_bytes += await _discard_response(connection, MAX_STALE_BYTES - stale_bytes)
 
     def _apply_response_metadata(
         self,
@@ -420,16 +421,19 @@
         return BufferedResponse(head.status, headers, body)
 
 
-async def _discard_response(connection: BackendConnection) -> int:
+async def _discard_response(connection: BackendConnection, max_bytes: int) -> int:
     """Read and discard a response to an earlier request, and return the size of its body.
 
-    :raises BackendConnectionError: when it is too long, or the server closes the connection.
+    :raises BackendConnectionError: when it has more than ``max_bytes``, or the server closes the
+        connection after it.
     """
     size = 0
     while (chunk := await connection.receive_chunk()) is not None:
         size += len(chunk)
-        if size > MAX_DISCARDED_BODY_BYTES:
-            raise BackendConnectionError("body too long")
+        if size > max_bytes:
+            break
+    if size > max_bytes or max_bytes < 0:
+        raise BackendConnectionError("crossed")
     await connection.discard_response(0)
     return size
 
