--- a/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
@@ -22,8 +22,9 @@
 from berylbankd._internal.refusals import Refusal
 
 # While all servers of a request are silent, and no other can get it, one is looked for again after
-# this time.
+# this time, or after this share of the time for which they have been silent.
 RETRY_CHECK_INTERVAL_S = 0.1
+RETRY_CHECK_RATIO = 0.25
 
 
 class AttemptRace:
@@ -167,7 +168,9 @@
                 next_step = choice.value
                 is_affordable = choice is not RetryDenial.NO_CREDIT
                 if choice in TEMPORARY_DENIALS:
-                    self._check_at(now_s + RETRY_CHECK_INTERVAL_S)
+                    silent_s = now_s - max(attempt.progress_s for attempt in silent)
+                    interval_s = max(RETRY_CHECK_INTERVAL_S, silent_s * RETRY_CHECK_RATIO)
+                    self._check_at(now_s + interval_s)
             else:
                 next_step = "sent to another server"
                 self.sequences += 1
