Let a fault in one attempt of a request not end the attempts at other servers

It is logged and counted as before, the attempt counts as broken, and the others go on; without any other the error is raised as before, so that the caller gets a true answer at once.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/attempts.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/attempts.py
@@ -36,6 +36,7 @@
     NO_TIME = "no time"
     NO_CREDIT = "no retry credit"
     NO_SERVER = "no server"
+    FAULT = "fault of this VM"
 
 
 # These may end while the request waits for a silent server.
@@ -152,3 +153,8 @@
     deadline_ms: int
     server_deadline_ms: int
     attempts: RequestAttempts
+
+    @property
+    def request_id(self) -> str:
+        """The id that the caller gave the request."""
+        return self.exchange.metadata.request_id.decode("latin-1")
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
@@ -7,6 +7,7 @@
 import math
 
 import anyio
+from loguru import logger
 
 from berylbankd._internal.ingress.attempts import (
     TEMPORARY_DENIALS,
@@ -20,6 +21,8 @@
 from berylbankd._internal.ingress.exchange import CallerDisconnectedError
 from berylbankd._internal.ingress.request_log import SilenceRecord
 from berylbankd._internal.refusals import Refusal
+from berylbankd._internal.steering.picks import Pick
+from berylbankd._internal.supervision import describe_error
 
 # While all servers of a request are silent, and no other can get it, one is looked for again after
 # this time, or after this share of the time for which they have been silent.
@@ -88,7 +91,7 @@
         failed: Attempt | None = None
         while self.result is None:
             if attempt is None:
-                choice = self.dispatcher.choose_server(self.request, failed)
+                choice = self._choose_server(failed)
                 if isinstance(choice, RetryDenial):
                     break
                 attempt = self.dispatcher.make_attempt(self.request, choice)
@@ -102,6 +105,9 @@
                 self.caller_left = True
                 self.group.cancel_scope.cancel()
                 return
+            except Exception as error:  # a fault must not end the attempts at other servers
+                attempt.failure = AttemptFailure.BROKEN
+                self._report_fault(error)
             if attempt.succeeded:
                 self.result = self.result or attempt.response
                 self.group.cancel_scope.cancel()
@@ -110,6 +116,24 @@
             failed, attempt = attempt, None
         self._end_sequence()
 
+    def _choose_server(self, failed: Attempt | None) -> Pick | RetryDenial:
+        """Choose the server of the next attempt; a fault must not end the attempts that run."""
+        try:
+            return self.dispatcher.choose_server(self.request, failed)
+        except Exception as error:
+            self._report_fault(error)
+            return RetryDenial.FAULT
+
+    def _report_fault(self, error: Exception) -> None:
+        """Log and count an unexpected error, or raise it if nothing else can answer the caller."""
+        if not self.attempts.find_pending():
+            raise error
+        self.dispatcher.request_log.count_fault()
+        logger.bind(request_id=self.request.request_id).error(
+            "an attempt of the request is given up because of a fault of this VM, others go on: {}",
+            describe_error(error),
+        )
+
     def _end_sequence(self) -> None:
         self.sequences -= 1
         if self.sequences:
@@ -163,7 +187,7 @@
         next_step = "another server has it"
         is_affordable = True
         if len(silent) == len(pending):
-            choice = self.dispatcher.choose_server(self.request, None)
+            choice = self._choose_server(None)
             if isinstance(choice, RetryDenial):
                 next_step = choice.value
                 is_affordable = choice is not RetryDenial.NO_CREDIT
@@ -198,7 +222,7 @@
     def _log_silence(self, attempt: Attempt, next_step: str) -> None:
         self.dispatcher.request_log.record_silence(
             SilenceRecord(
-                self.request.exchange.metadata.request_id.decode("latin-1"),
+                self.request.request_id,
                 self.request.pick_request.route.name,
                 attempt.pick.server.registration.id,
                 int((anyio.current_time() - attempt.progress_s) * 1000),
