Let requests that have just begun end while a VM of the own interface stops

Callers got 504 after a few ms of their service's timeout when a VM stopped: once stop_grace_ms was over the drain ended every request that waited for a server, whatever its age. With steady traffic some request always runs, so this came in every such stop, although the servers go on serving the requests that run for as long again, and end the unanswered ones themselves at the real end (serve_http, end_requests). The early end is gone; the longest time that a stop takes stays as it was.

--- a/packages/berylbank/src/berylbank/_internal/settings.py
+++ b/packages/berylbank/src/berylbank/_internal/settings.py
@@ -53,7 +53,8 @@
     ``renew_every_ms``. ``loan_ms`` is the term of a loan. A VM without a heartbeat, which is sent
     every ``heartbeat_ms``, is taken for failed after ``suspect_ms``. On a stop, a VM serves for
     ``lookup_max_age_ms``, as long as callers may cache a look-up, and then waits up to
-    ``stop_grace_ms`` for running requests.
+    ``stop_grace_ms`` for running requests. Those that still run get as long again, while no further
+    ones are accepted.
     """
 
     lease_ms: int = 2_000
--- a/packages/berylbankd/src/berylbankd/_internal/application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/application.py
@@ -108,7 +108,8 @@
         """Announce the stop, then serve until look-ups expire and running requests have ended.
 
         Callers may cache a look-up that names this VM for ``lookup_max_age_ms``. After that, the
-        wait for running requests and unrecorded outcomes is limited to ``stop_grace_ms``.
+        wait for running requests and unrecorded outcomes is limited to ``stop_grace_ms``. Requests
+        that still run then go on while the servers stop, which may take as long again.
         """
         self.coordinator.start_leaving()
         logger.info("stopping gracefully: look-ups no longer name this VM")
@@ -121,11 +122,10 @@
                 await anyio.sleep(DRAIN_POLL_INTERVAL_S)
         if self.entry.running_requests:
             logger.warning(
-                "{} requests did not finish within the grace time; ending those that wait for a"
-                " backend server",
+                "{} requests did not finish within the grace time; no further ones are accepted,"
+                " and these may take as long again",
                 self.entry.running_requests,
             )
-            await self.entry.dispatcher.deadline_monitor.expire_unanswered()
 
     async def _watch_signals(self) -> None:
         try:
