Test each connection's deadline again just before it is closed

A request of the own interface could end with 504, or its answer be cut, long before its deadline: the monitor chose all expired connections first and then awaited the close of each. One that was answered, released or reused during those closes was still closed, and marked as timed out. Whether a connection is due, and still in use, is now tested just before its own close, also for those that a stop ends.

--- a/packages/berylbankd/src/berylbankd/_internal/backends/deadlines.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/deadlines.py
@@ -1,5 +1,7 @@
 """Enforces the deadlines of all connections by checking them periodically, without timers."""
 
+from collections.abc import Callable
+
 import anyio
 
 from berylbank._internal.utils.clock import Clock
@@ -38,14 +40,16 @@
     async def close_expired(self) -> None:
         """Close every connection whose deadline has passed."""
         now_ms = self.clock.now_ms()
-        await self._close([c for c in self.active_connections if c.deadline_ms <= now_ms])
+        await self._close_where(lambda connection: connection.deadline_ms <= now_ms)
 
     async def expire_unanswered(self) -> None:
         """Close every connection whose response has not begun, as if its deadline had passed."""
-        await self._close([c for c in self.active_connections if not c.response_started])
-
-    async def _close(self, connections: list[BackendConnection]) -> None:
-        for connection in connections:
-            self.active_connections.discard(connection)
-            connection.timed_out = True
-            await connection.aclose()
+        await self._close_where(lambda connection: not connection.response_started)
+
+    async def _close_where(self, is_due: Callable[[BackendConnection], bool]) -> None:
+        for connection in tuple(self.active_connections):
+            # While another one was being closed, it may have been answered, released or reused.
+            if connection in self.active_connections and is_due(connection):
+                self.active_connections.discard(connection)
+                connection.timed_out = True
+                await connection.aclose()
--- a/tests/steps/own_cut_steps.py
+++ b/tests/steps/own_cut_steps.py
@@ -57,22 +57,47 @@
     context.connections = [ExpiredConnection(), ExpiredConnection()]
 
 
-@when("the second one carries another request before the first one is closed")
-def step_reuse(context):
+def close_both(context, change, method_name):
+    """Close both connections, and ``change`` the one that is not closed first meanwhile."""
     first, second = context.connections
     monitor = DeadlineMonitor(FixedClock())
     # A set has no order, so each one may be the first.
     monitor.active_connections.update(context.connections)
     context.reused = []
 
-    def reuse(other):
+    def change_open(other):
         if not other.closed:
-            # As when its response has ended, and the next request is sent on it.
-            other.deadline_ms = NOW_MS + 1_000
+            change(monitor, other)
             context.reused.append(other)
 
-    first.on_close, second.on_close = (lambda: reuse(second)), (lambda: reuse(first))
-    anyio.run(monitor.close_expired)
+    first.on_close = lambda: change_open(second)
+    second.on_close = lambda: change_open(first)
+    anyio.run(getattr(monitor, method_name))
+
+
+@when("the second one carries another request before the first one is closed")
+def step_reuse(context):
+    def reuse(_, other):
+        # As when its response has ended, and the next request is sent on it.
+        other.deadline_ms = NOW_MS + 1_000
+
+    close_both(context, reuse, "close_expired")
+
+
+@when("the second one is released before the first one is closed")
+def step_release(context):
+    def release(monitor, other):
+        monitor.active_connections.discard(other)
+
+    close_both(context, release, "close_expired")
+
+
+@when("the second one's response begins before the first one is closed for a stop")
+def step_respond(context):
+    def respond(_, other):
+        other.response_started = True
+
+    close_both(context, respond, "expire_unanswered")
 
 
 @then("only the first one was closed")
--- a/tests/unit/entry/cut_beside.feature
+++ b/tests/unit/entry/cut_beside.feature
@@ -18,3 +18,15 @@
     Given two connections whose deadlines have expired
     When the second one carries another request before the first one is closed
     Then only the first one was closed
+
+  # Issue 40: as above.
+  Scenario: a connection that is released while another expired one is being closed stays open
+    Given two connections whose deadlines have expired
+    When the second one is released before the first one is closed
+    Then only the first one was closed
+
+  # Issue 40: as above, at the end of a stop.
+  Scenario: a connection whose response begins while another one is ended at a stop stays open
+    Given two connections whose deadlines have expired
+    When the second one's response begins before the first one is closed for a stop
+    Then only the first one was closed
