Choose a response of the own interface by its body, not its head, while other servers work

A caller got a cut, empty 200 though a server was at work on its read: where the first server was silent and another attempt ran beside it, the mere head of either response ended the other attempt, and then the body never came. A success now ends such a race only once its body is whole, or more than 64 KiB of it were received. A response that breaks off before is a failed attempt: the other one goes on, and a further one may be made. At the request's deadline, or if the other attempts have ended, a response that has only begun is still the caller's answer, as before. Nothing changes for requests without a race. Each attempt in a race holds at most 64 KiB and what one further read brings.

A server whose reused connection breaks off after the head of a response counts as failed: the connection was not stale.

--- a/packages/berylbankd/src/berylbankd/_internal/entry/attempts.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/attempts.py
@@ -19,7 +19,8 @@
     """An attempt at a backend server, which holds a slot and, once connected, a connection.
 
     ``head`` is set once the server has responded, and ``reusable`` if the connection may carry
-    another request.
+    another request. ``chunks`` holds what was received of the body before the response was chosen,
+    and ``buffered`` is set if that is the whole body, or as much as may be held back.
     """
 
     def __init__(self, slot_pool: SlotPool) -> None:
@@ -27,6 +28,8 @@
         self.connection: BackendConnection | None = None
         self.started_ms = 0
         self.head: ResponseHead | None = None
+        self.chunks: list[bytes] = []
+        self.buffered = False
         self.reusable = False
 
     @property
@@ -61,6 +64,7 @@
     ``running`` holds those whose slot or connection is in use, and ``refusal`` is that of the last
     one that failed. ``deadline_ms`` is when the service's timeout expires; it counts from the first
     attempt in which the request may have run. ``silence`` is to be logged with the next attempt.
+    ``race`` is set once the request's server was silent for too long.
     """
 
     def __init__(self) -> None:
@@ -70,6 +74,7 @@
         self.refusal: Refusal | None = None
         self.deadline_ms: int | None = None
         self.silence: ServerSilence | None = None
+        self.race: Race | None = None
 
     def record_failure(self, outcome: AttemptOutcome, backend_name: str) -> None:
         """Record how an attempt failed that no longer runs."""
@@ -82,9 +87,9 @@
 class Race:
     """The attempt at a silent server, ``first``, and the further ones that are made beside it.
 
-    ``cancel_scope`` encloses all of them. ``responses`` holds the attempts with a response, in
-    order. ``first_failure`` is set if the silent server failed, and ``others_ended`` once no
-    further attempt follows.
+    ``cancel_scope`` encloses all of them. ``responses`` holds the attempts whose response has
+    begun and has not broken off, in order. ``first_failure`` is set if the silent server failed,
+    and ``others_ended`` once no further attempt follows.
     """
 
     def __init__(
@@ -98,10 +103,11 @@
         self.others_ended = False
 
     def choose_response(self) -> Attempt | None:
-        """Return the first attempt that succeeded, else the first one with a response."""
-        return next(
-            (attempt for attempt in self.responses if attempt.succeeded),
-            self.responses[0] if self.responses else None,
+        """Return the best response: a success, if possible one that is buffered."""
+        return max(
+            self.responses,
+            key=lambda attempt: (attempt.succeeded, attempt.buffered),
+            default=None,
         )
 
 
--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -41,6 +41,8 @@
 MAX_ATTEMPTS = 3
 MAX_BUFFERED_BODY_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# While other attempts run, a longer response is chosen before all of its body was received.
+MAX_BUFFERED_RESPONSE_BYTES = 65_536
 BODY_CHUNK_TIMEOUT_S = 10.0
 # A caller that takes longer to read a chunk of its response loses its slot at the server.
 CALLER_READ_TIMEOUT_MS = 30_000
@@ -214,11 +216,11 @@
         try:
             await connection.send_request(exchange.method.encode(), exchange.target, headers, body)
             head = await self._receive_head_unless_silent(exchange, attempt, connection)
+            if head is not None:
+                return await self._handle_head(exchange, attempts, attempt, connection, head)
         except BackendConnectionError as failure:
             return await self._handle_failure(exchange, attempt, connection, failure)
-        if head is None:
-            return await self._race(exchange, attempts, attempt, connection)
-        return await self._handle_head(exchange, attempt, connection, head)
+        return await self._race(exchange, attempts, attempt, connection)
 
     async def _receive_head_unless_silent(
         self, exchange: Exchange, attempt: Attempt, connection: BackendConnection
@@ -256,7 +258,8 @@
     ) -> AttemptOutcome:
         """Make further attempts beside that at a silent server, which may still be at work.
 
-        The first success ends the race. A server error counts only if nothing else succeeds.
+        The first success whose body is buffered ends the race. A server error, or a success that
+        has only begun, counts only if nothing else succeeds.
         """
         backend = first.slot_pool.backend
         now_ms = self.coordinator.clock.now_ms()
@@ -266,12 +269,10 @@
         attempts.tried_backends |= {backend.name}
         await self.connection_pool.close_idle_to(backend.address)
         async with anyio.create_task_group() as group:
-            race = Race(first, connection, group.cancel_scope)
+            race = attempts.race = Race(first, connection, group.cancel_scope)
             group.start_soon(self._await_silent_server, exchange, attempts, race)
             other = await self._find_response(exchange, attempts)
             race.others_ended = True
-            if other is not None:
-                self._add_response(exchange, race, other)
             if self._is_decided(attempts, other):
                 race.cancel_scope.cancel()
         self._log_silence(exchange, attempts, "none: the server responded")
@@ -290,12 +291,10 @@
         first, connection = race.first, race.connection
         try:
             head = await connection.receive_head()
-            outcome = await self._handle_head(exchange, first, connection, head)
+            outcome = await self._handle_head(exchange, attempts, first, connection, head)
         except BackendConnectionError as failure:
             outcome = await self._handle_failure(exchange, first, connection, failure)
-        if outcome.attempt is not None:
-            self._add_response(exchange, race, first)
-        else:
+        if outcome.attempt is None:
             # The further attempts replace this one, unless they have ended.
             retryable = outcome.retryable and race.others_ended
             race.first_failure = outcome._replace(retryable=retryable)
@@ -310,11 +309,36 @@
             return other.succeeded
         return attempts.refusal is not None and attempts.refusal.kind is RefusalKind.KEY_WITHDRAWN
 
-    def _add_response(self, exchange: Exchange, race: Race, attempt: Attempt) -> None:
-        """Keep a response while the race goes on."""
-        assert exchange.service is not None and attempt.connection is not None
-        attempt.connection.deadline_ms += exchange.service.timeout_ms
+    async def _buffer_response(
+        self, exchange: Exchange, attempts: RequestAttempts, race: Race, attempt: Attempt
+    ) -> None:
+        """Receive a short body, or the first part of a longer one, while other attempts run.
+
+        This ends at the request's deadline; the response may still be chosen then.
+
+        :raises BackendConnectionError: when the response breaks off.
+        """
+        connection = attempt.connection
+        assert exchange.service is not None and connection is not None
+        remaining_ms = connection.deadline_ms - self.coordinator.clock.now_ms()
+        # The response is kept while the race goes on.
+        connection.deadline_ms += exchange.service.timeout_ms
         race.responses.append(attempt)
+        if attempts.running == [attempt]:
+            return
+        size = 0
+        with anyio.move_on_after(remaining_ms / 1000):
+            try:
+                while size <= MAX_BUFFERED_RESPONSE_BYTES:
+                    chunk = await connection.receive_chunk()
+                    if chunk is None:
+                        break
+                    attempt.chunks.append(chunk)
+                    size += len(chunk)
+                attempt.buffered = True
+            except BackendConnectionError:
+                race.responses.remove(attempt)
+                raise
 
     async def _end_attempts(
         self, exchange: Exchange, attempts: RequestAttempts, kept: Attempt | None = None
@@ -352,6 +376,7 @@
     async def _handle_head(
         self,
         exchange: Exchange,
+        attempts: RequestAttempts,
         attempt: Attempt,
         connection: BackendConnection,
         head: ResponseHead,
@@ -360,6 +385,8 @@
             attempt.reusable = True
             return await self._handle_shed(exchange, attempt.slot_pool, connection)
         attempt.head = head
+        if attempts.race is not None:
+            await self._buffer_response(exchange, attempts, attempts.race, attempt)
         return AttemptOutcome(attempt=attempt)
 
     async def _handle_failure(
@@ -370,8 +397,11 @@
         failure: BackendConnectionError,
     ) -> AttemptOutcome:
         slot_pool = attempt.slot_pool
-        if failure.reason != DEADLINE_REASON and self._may_be_stale_connection(
-            exchange, connection
+        has_responded, attempt.head = attempt.head is not None, None
+        if (
+            failure.reason != DEADLINE_REASON
+            and not has_responded
+            and self._may_be_stale_connection(exchange, connection)
         ):
             await self.connection_pool.close_idle_to(slot_pool.backend.address)
         else:
@@ -423,19 +453,19 @@
         return AttemptOutcome(Refusal(RefusalKind.NO_SLOT), retryable=exchange.body_replayable)
 
     async def _relay_response(self, exchange: Exchange, attempt: Attempt) -> None:
-        head, connection = attempt.head, attempt.connection
-        assert head is not None and connection is not None
+        head = attempt.head
+        assert head is not None
         headers = make_caller_response_headers(
             head.headers, exchange.request_id, self.coordinator.node.leaving
         )
         await exchange.start_response(head.status, headers)
         try:
-            chunk = await self._receive_chunk(exchange, connection)
+            chunk = await self._receive_chunk(exchange, attempt)
             if chunk is not None:
-                next_chunk = await self._receive_chunk(exchange, connection)
+                next_chunk = await self._receive_chunk(exchange, attempt)
                 if next_chunk is not None:
                     await exchange.send_chunk(chunk)
-                    await self._relay_chunks_until_disconnect(exchange, connection, next_chunk)
+                    await self._relay_chunks_until_disconnect(exchange, attempt, next_chunk)
                     chunk = b""
         except BackendConnectionError as error:
             attempt.slot_pool.health.record_failure(self.coordinator.clock.now_ms())
@@ -443,7 +473,7 @@
         await exchange.finish_response(chunk or b"")
 
     async def _relay_chunks_until_disconnect(
-        self, exchange: Exchange, connection: BackendConnection, chunk: bytes
+        self, exchange: Exchange, attempt: Attempt, chunk: bytes
     ) -> None:
         """Relay a long body until it ends or the caller disconnects."""
         next_chunk: bytes | None = chunk
@@ -453,24 +483,27 @@
             try:
                 while next_chunk is not None:
                     await exchange.send_chunk(next_chunk)
-                    next_chunk = await self._receive_chunk(exchange, connection)
+                    next_chunk = await self._receive_chunk(exchange, attempt)
             except (BackendConnectionError, IncompleteResponseError) as error:
                 failure = error
             group.cancel_scope.cancel()
         if next_chunk is not None:
             raise failure
 
-    async def _receive_chunk(
-        self, exchange: Exchange, connection: BackendConnection
-    ) -> bytes | None:
-        assert exchange.service is not None
+    async def _receive_chunk(self, exchange: Exchange, attempt: Attempt) -> bytes | None:
+        connection = attempt.connection
+        assert exchange.service is not None and connection is not None
         if exchange.idempotent and not self.request_filters.may_still_run(exchange):
             raise IncompleteResponseError(
                 "response aborted: the key was withdrawn or this VM lost its authority"
             )
-        now_ms = self.coordinator.clock.now_ms()
-        connection.deadline_ms = now_ms + exchange.service.timeout_ms
-        chunk = await connection.receive_chunk()
+        if attempt.chunks:
+            chunk: bytes | None = b"".join(attempt.chunks)
+            attempt.chunks.clear()
+        else:
+            now_ms = self.coordinator.clock.now_ms()
+            connection.deadline_ms = now_ms + exchange.service.timeout_ms
+            chunk = await connection.receive_chunk()
         # The caller may take longer than the server's timeout to read the chunk.
         connection.deadline_ms = self.coordinator.clock.now_ms() + CALLER_READ_TIMEOUT_MS
         return chunk
--- a/tests/steps/own_cut_steps.py
+++ b/tests/steps/own_cut_steps.py
@@ -22,6 +22,37 @@
         return False
 
 
+class LateHeadServer(Server):
+    """As :class:`Server`; once "sends a late head", it does so and then closes the connection."""
+
+    def __init__(self, name, wait_ms, pause_ms):
+        super().__init__(name)
+        self.wait_ms, self.pause_ms = wait_ms, pause_ms
+
+    async def respond(self, stream):
+        if self.behaviour != "sends a late head":
+            return await super().respond(stream)
+        await anyio.sleep(self.wait_ms / 1000)
+        await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n")
+        await anyio.sleep(self.pause_ms / 1000)
+        return False
+
+
+class TwoPartServer(Server):
+    """Sends a response in two equal parts of ``part_bytes``, ``pause_ms`` apart."""
+
+    def __init__(self, name, part_bytes, pause_ms):
+        super().__init__(name)
+        self.part_bytes, self.pause_ms = part_bytes, pause_ms
+
+    async def respond(self, stream):
+        head = f"HTTP/1.1 200 OK\r\ncontent-length: {2 * self.part_bytes}\r\n\r\n"
+        await stream.send(head.encode() + bytes(self.part_bytes))
+        await anyio.sleep(self.pause_ms / 1000)
+        await stream.send(bytes(self.part_bytes))
+        return True
+
+
 class ExpiredConnection:
     """A connection whose deadline has passed; closing it takes a pass of the event loop."""
 
@@ -52,6 +83,19 @@
         server.pause_s = int(found[1]) / 1000
 
 
+@given(
+    "the first server sends the head of a response after {wait_ms:d} ms, and closes after {ms:d} ms"
+)
+def step_late_head(context, wait_ms, ms):
+    context.run.first = LateHeadServer("first", wait_ms, ms)
+    context.run.first_behaviour = "sends a late head"
+
+
+@given("the other server sends {size:d} bytes, and as many after {ms:d} ms")
+def step_two_parts(context, size, ms):
+    context.run.other = TwoPartServer("other", size, ms)
+
+
 @given("two connections whose deadlines have expired")
 def step_expired(context):
     context.connections = [ExpiredConnection(), ExpiredConnection()]
@@ -104,3 +148,11 @@
 def step_one_closed(context):
     (reused,) = context.reused
     assert not reused.closed and not reused.timed_out
+
+
+@then("the caller gets {size:d} bytes and an end")
+def step_whole_body(context, size):
+    bodies = [message for message in context.run.messages if "body" in message]
+    received = sum(len(message["body"]) for message in bodies)
+    assert context.run.result is None and received == size, (context.run.result, received)
+    assert not bodies[-1].get("more_body")
