Refuse a request that may have run with a status that does not promise the contrary

Callers got 503 no_slot or no_backend with a Retry-After, though "ran" was "unknown": the request had broken off at one server and was then refused by, or could not reach, the next one. The callers' page says that a request with 503 did not run, so it invites them to repeat it. The earlier refusal is now kept in that case: 502 backend_failed, or 504 deadline, as on the platform's path. A key that is withdrawn between attempts is still refused with 401 and "ran" set to "unknown".

A new outline in dispatch.feature with four rows failed before (503 in all four) and passes.

--- a/packages/berylbankd/src/berylbankd/_internal/entry/attempts.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/attempts.py
@@ -13,6 +13,8 @@
 RETRY_CREDIT_PER_REQUEST = 0.1
 MAX_RETRY_CREDIT = 20.0
 MIN_SERVER_ERROR_STATUS = 500
+# Callers may repeat a request that is refused with this status.
+NOT_RUN_STATUS = 503
 
 
 class Attempt:
@@ -51,10 +53,13 @@
     def merge_earlier(self, earlier: Refusal | None) -> Refusal | None:
         """Return this attempt's refusal, merged with the refusal of the earlier attempts.
 
-        If the request may have run in an earlier attempt, the merged refusal states so.
+        If the request may have run in an earlier attempt, the merged refusal states so, and has no
+        status that promises the contrary.
         """
         if self.refusal is None or earlier is None or earlier.ran is Ran.NO:
             return self.refusal
+        if self.refusal.template.status == NOT_RUN_STATUS:
+            return earlier
         return self.refusal._replace(ran=earlier.ran)
 
 
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -51,6 +51,14 @@
     assert context.refusal.ran.value == ran, context.refusal
 
 
+@then('the refusal is "{kind}" with status {status:d}, and "ran" set to "{ran}"')
+def step_refusal(context, kind, status, ran):
+    refusal = context.refusal
+    found = refusal.kind.value, refusal.template.status, refusal.ran.value
+    assert found == (kind, status, ran), found
+    assert "retry-after" not in {name.decode() for name, _ in refusal.make_headers(0)}
+
+
 READ_BYTES = 65_536
 
 
--- a/tests/unit/entry/dispatch.feature
+++ b/tests/unit/entry/dispatch.feature
@@ -13,6 +13,18 @@
       | shed, failed                | unknown |
       | failed, withdrawn           | unknown |
 
+  # Issue 40: 503 promises that the request did not run, and got a time after which to retry.
+  Scenario Outline: attempts of which an early one may have run and that end as <outcomes> get no 503
+    When the attempts of an idempotent request end as <outcomes>
+    Then the refusal is "backend_failed" with status 502, and "ran" set to "unknown"
+
+    Examples:
+      | outcomes                  |
+      | failed, unreachable       |
+      | failed, shed              |
+      | failed, shed, unreachable |
+      | shed, failed, shed        |
+
   # As in review/1: only the buffered part of a long body can be sent again.
   Scenario Outline: a PUT with <size> bytes whose server <failure> is <repeated>
     Given a PUT with a body of <size> bytes that was sent to a server
