Keep late successes out of the service times

Since the attempts race, its late success did: at 6 times the mean or more, it raised the mean, hence the demand by which regions are planned, and the longest service time, by which a stopping VM refuses requests. A late success now clears the server's failures, and nothing else.

Evidence: the step that was added to the scenario failed before (it found the time of the answer in the service times).

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -277,16 +277,18 @@
         self, pick_request: PickRequest, attempt: Attempt, *, failed: bool, started_ms: int
     ) -> None:
         """Record the end of an attempt, whose silence may have been recorded as a failure."""
-        pick = attempt.pick
+        latency_ms = self.clock.now_ms() - started_ms
         if attempt.silence_recorded:
-            if failed:
-                return
-            # A late success shows that the server works, but each attempt is evidence on a release
-            # only once.
-            pick = pick._replace(release=None)
-        now_ms = self.clock.now_ms()
+            # The silence was evidence of its own; a late success only shows that the server works.
+            if not failed:
+                attempt.pick.server.record_success(latency_ms)
+            return
         self.steering.record_response(
-            pick_request, pick, failed=failed, latency_ms=now_ms - started_ms, now_ms=now_ms
+            pick_request,
+            attempt.pick,
+            failed=failed,
+            latency_ms=latency_ms,
+            now_ms=self.clock.now_ms(),
         )
 
     async def _send_request(
--- a/tests/steps/silent_server_steps.py
+++ b/tests/steps/silent_server_steps.py
@@ -354,3 +354,10 @@
     ]
     assert record.request_id == REQUEST_ID and record.next == next_step, record
     assert 200 <= record.waited_ms <= 400 and record.remaining_ms > 500, record
+
+
+@then("the time of its answer does not count as a service time")
+def step_service_time(context):
+    scene = context.scene
+    assert scene.steering.mean_service_ms.get("desk", 0) == scene.mean_service_ms
+    assert "desk" not in scene.steering.longest_recent_ms
--- a/tests/unit/ingress/silent_servers.feature
+++ b/tests/unit/ingress/silent_servers.feature
@@ -159,6 +159,7 @@
     When a caller who waits 1500 ms reads
     Then the caller gets the first server's answer
     And the first server has 0 failures on record
+    And the time of its answer does not count as a service time
 
   Scenario: a booking waits for one silent server until its deadline
     Given a first server that never answers
