Put no failure on a server's record when a request reaches its deadline

Cause: since the attempts race, every server that was silent until a request's deadline got a failure on its record. Before, the deadline of the request came first and left none. Under overload servers are silent because they are queued; with repeated failures they were ejected, and their region's requests moved at once. A deadline says nothing of the server that the silence before it did not say: a server that causes another attempt still gets its one failure.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
@@ -74,8 +74,6 @@
         if self.result is None:
             self.result = self._find_success()
         if self.result is None and not self.caller_left:
-            if anyio.current_time() >= scope.deadline:
-                await self._record_silence_until_deadline()
             self.result = make_result_after_deadline(self.attempts)
         if len(self.attempts.started) > 1:
             await self.dispatcher.drop_responses_except(self.attempts, self.result)
@@ -213,12 +211,6 @@
             self.attempts.last_failure = AttemptFailure.HUNG
             await self.dispatcher.server_exchange.record_silence(self.request.pick_request, attempt)
 
-    async def _record_silence_until_deadline(self) -> None:
-        now_s = anyio.current_time()
-        for attempt in self.attempts.find_pending():
-            if now_s - attempt.progress_s >= attempt.silence_s:
-                await self._record_silence(attempt)
-
     def _log_silence(self, attempt: Attempt, next_step: str) -> None:
         self.dispatcher.request_log.record_silence(
             SilenceRecord(
