--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -115,9 +115,7 @@
             await attempt.response.remainder.aclose()
 
     async def record_silence(self, pick_request: PickRequest, attempt: Attempt) -> None:
-        """Record that the server of a pending attempt is silent, once."""
-        if attempt.silence_recorded:
-            return
+        """Record that the server of a pending attempt is silent; call it once for an attempt."""
         attempt.silence_recorded = True
         now_ms = self.clock.now_ms()
         silent_ms = int((anyio.current_time() - attempt.progress_s) * 1000)
