Log where the news of a leaving server came from, and when the last request went to it

The lines of VMs could not tell a removal that was never learned from one that was put off or acted on late. Each departure now names its source and revision, and 5 s later how long after the news the last request was sent; the metric berylbank.server.departure.delay has the same figure. Each read of a table of the store logs the revision that it stated and the newest one in its rows.

--- a/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
@@ -1,7 +1,7 @@
 """An HTTP/1.1 client connection to a backend server, used by one task at a time."""
 
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 from typing import NamedTuple
 
@@ -186,8 +186,9 @@
         target: bytes,
         headers: list[tuple[bytes, bytes]],
         body: AsyncIterator[bytes] | None,
+        on_send: Callable[[], None] = lambda: None,
     ) -> None:
-        """Send a request with its whole body.
+        """Send a request with its whole body; ``on_send`` is called before its first byte.
 
         :raises BackendConnectionError: when sending fails or the deadline expires.
         """
@@ -199,9 +200,10 @@
         try:
             self.request_started = True
             if body is None:
+                on_send()
                 await self.stream.send(head)
             else:
-                await self._send_body(head, body, is_chunked(headers))
+                await self._send_body(head, body, is_chunked(headers), on_send)
         except OSError as error:
             raise BackendConnectionError("send") from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
@@ -283,13 +285,23 @@
     ) -> None:
         await self.aclose()
 
-    async def _send_body(self, head: bytes, body: AsyncIterator[bytes], chunked: bool) -> None:
+    async def _send_body(
+        self,
+        head: bytes,
+        body: AsyncIterator[bytes],
+        chunked: bool,
+        on_send: Callable[[], None],
+    ) -> None:
         data = head
         async for chunk in body:
+            if data is head:
+                on_send()
             data += b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked and chunk else chunk
             if data:
                 await self.stream.send(data)
             data = b""
+        if data is head:
+            on_send()
         if chunked:
             data += b"0\r\n\r\n"
         if data:
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -261,8 +261,19 @@
     async def _read_table(self, table: str) -> None:
         snapshot = await self.store.read_table(table)
         self._set_store_available(True, "")
-        now_ms = self.clock.now_ms()
-        self._report_changes(self.row_cache.apply_snapshot(snapshot), "read", now_ms)
+        now_ms, known_revision = self.clock.now_ms(), self.row_cache.position(table)
+        changed = self.row_cache.apply_snapshot(snapshot)
+        logger.info(
+            "read table {} from the store: {} rows up to revision {}, stated revision {}, known"
+            " before {}; {} rows changed",
+            table,
+            len(snapshot.rows),
+            max((row.revision for row in snapshot.rows), default=0),
+            snapshot.revision,
+            known_revision,
+            len(changed),
+        )
+        self._report_changes(changed, "read", now_ms)
 
     def _set_store_available(self, available: bool, reason: str) -> None:
         if available == self.store_available:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -315,7 +315,13 @@
         if body_known:
             attempt.progress_s = anyio.current_time()
             notify(attempt)
-        await connection.send_request(exchange.method, exchange.target, headers, body)
+
+        def record_send() -> None:
+            attempt.pick.server.last_sent_ms = self.clock.now_ms()
+
+        await connection.send_request(
+            exchange.method, exchange.target, headers, body, on_send=record_send
+        )
         if not body_known:
             attempt.progress_s = anyio.current_time()
             notify(attempt)
--- a/packages/berylbankd/src/berylbankd/_internal/metrics.py
+++ b/packages/berylbankd/src/berylbankd/_internal/metrics.py
@@ -22,11 +22,17 @@
             instrument_name="berylbank.request.duration",
             aggregation=ExplicitBucketHistogramAggregation(DURATION_BUCKET_BOUNDS_MS),
         )
+        departure_view = View(
+            instrument_name="berylbank.server.departure.delay",
+            aggregation=ExplicitBucketHistogramAggregation(DURATION_BUCKET_BOUNDS_MS),
+        )
         self.provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()], views=[duration_view]
+            metric_readers=[PrometheusMetricReader()], views=[duration_view, departure_view]
         )
         meter = self.provider.get_meter("berylbankd")
         self.duration = meter.create_histogram("berylbank.request.duration", unit="ms")
+        # From the news that a backend server leaves to the last request sent to it; 0 if none was.
+        self.departure_delay = meter.create_histogram("berylbank.server.departure.delay", unit="ms")
         self.refusals = meter.create_counter("berylbank.refusals")
         self.request_faults = meter.create_counter("berylbank.request.faults")
         self.lookups = meter.create_counter("berylbank.lookups")
--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -15,7 +15,7 @@
     ReleaseStatus,
     Route,
 )
-from berylbankd._internal.steering.servers import ServerState
+from berylbankd._internal.steering.servers import Departure, ServerState
 from berylbankd._internal.supervision import describe_error
 
 # Servers whose registrations were lost during a store outage register again within this time, or
@@ -27,6 +27,8 @@
 # After an evacuation ends, its servers are treated as cold for this time, unless they register a
 # remaining warm-up time of their own.
 POST_EVACUATION_COLD_MS = 2_500
+# How long after a server's departure the last request to it is reported.
+DEPARTURE_REPORT_MS = 5_000
 
 
 class RowCodec(Protocol):
@@ -75,7 +77,7 @@
     ``version_checked_generation`` is the generation at which a service's stable version was last
     checked. ``logs_each_server`` tells whether each new server is logged. Until
     ``removal_grace_until_ms`` a registration that disappeared, as in a store outage, does not
-    remove its server at once.
+    remove its server at once. ``departed`` are the servers whose departure is to be reported.
     """
 
     def __init__(self, row_codec: RowCodec) -> None:
@@ -93,6 +95,7 @@
         self.removal_grace_until_ms = 0
         self.generation = 0
         self.logs_each_server = True
+        self.departed: list[ServerState] = []
 
     def apply_rows(self, rows: Iterable[Row], source: str, now_ms: int) -> None:
         """Apply newer rows; more than ``MAX_SERVERS_LOGGED`` are logged as a single count.
@@ -103,7 +106,7 @@
         self.logs_each_server = len(rows) <= MAX_SERVERS_LOGGED
         for row in rows:
             try:
-                self.apply_row(row, now_ms)
+                self.apply_row(row, now_ms, source)
             except Exception as error:  # a row of an unexpected kind must not stop the others
                 logger.error(
                     "row {} of table {} at revision {} could not be applied: {}",
@@ -121,13 +124,13 @@
             )
         self.logs_each_server = True
 
-    def apply_row(self, row: Row, now_ms: int) -> None:
-        """Apply a row that is newer than the known one with the same key."""
+    def apply_row(self, row: Row, now_ms: int, source: str = "") -> None:
+        """Apply a row that is newer than the known one with the same key; see apply_rows."""
         self.generation += 1
         if row.key == self.row_codec.configuration_key:
             self._apply_configuration(row)
         elif row.key.table == self.row_codec.servers_table:
-            self._apply_server(row, now_ms)
+            self._apply_server(row, now_ms, source)
         elif row.key.table == self.row_codec.status_table:
             self._apply_status(row)
         elif row.key.table == self.row_codec.orders_table:
@@ -153,12 +156,43 @@
             return False
         return state.registration.failure_domain not in self.evacuated_domains.values()
 
-    def mark_leaving(self, state: ServerState) -> None:
+    def mark_leaving(self, state: ServerState, now_ms: int) -> None:
         """Use a server no more that has said itself that it will stop."""
         if not state.leaving:
             logger.info("backend server {} says that it leaves", state.registration.id)
             state.leaving = True
             self.generation += 1
+            self._record_departure(state, Departure(now_ms, "response", 0))
+
+    def report_departures(self, now_ms: int) -> list[int]:
+        """Log when the last request went to each server that departed some seconds ago.
+
+        Return for each how long after the news of its departure that was in milliseconds, 0 if
+        it was before.
+        """
+        delays_ms: list[int] = []
+        for state in list(self.departed):
+            departure, last_sent_ms = state.departure, state.last_sent_ms
+            if departure is not None and now_ms - departure.known_ms < DEPARTURE_REPORT_MS:
+                continue
+            self.departed.remove(state)
+            if departure is None or last_sent_ms is None:
+                continue
+            delays_ms.append(max(0, last_sent_ms - departure.known_ms))
+            logger.info(
+                "backend server {} departed: known {} ms ago from {}, revision {};"
+                " the last request was sent to it {} ms after that",
+                state.registration.id,
+                now_ms - departure.known_ms,
+                departure.source,
+                departure.revision,
+                last_sent_ms - departure.known_ms,
+            )
+        return delays_ms
+
+    def _record_departure(self, state: ServerState, departure: Departure) -> None:
+        if state.record_departure(departure):
+            self.departed.append(state)
 
     def servers_of(self, service: str) -> list[ServerState]:
         """Return the servers of a service that may get new requests."""
@@ -230,12 +264,12 @@
             rates={item.name: [item.rate_per_s, item.burst] for item in configuration.organisations}
         ).info("configuration {} applied, revision {}", configuration.version, row.revision)
 
-    def _apply_server(self, row: Row, now_ms: int) -> None:
+    def _apply_server(self, row: Row, now_ms: int, source: str) -> None:
         registration = self.row_codec.decode_server(row)
         known = self.servers.get(row.key.key)
         if registration is None:
             if known is not None:
-                self._remove_server(row, known, now_ms)
+                self._remove_server(row, known, now_ms, source)
             return
         if known is None:
             self.servers[registration.id] = ServerState(registration, now_ms)
@@ -253,13 +287,20 @@
             return
         if registration.draining != known.registration.draining:
             logger.info(
-                "backend server {}: draining is now {}", registration.id, registration.draining
+                "backend server {}: draining is now {}, revision {} from {}",
+                registration.id,
+                registration.draining,
+                row.revision,
+                source,
             )
         known.update_registration(registration, now_ms)
+        if registration.draining:
+            self._record_departure(known, Departure(now_ms, source, row.revision))
         if self._recently_evacuated(registration.failure_domain, now_ms):
             known.cold_until_ms = max(known.cold_until_ms, now_ms + registration.warmup_left_ms)
 
-    def _remove_server(self, row: Row, known: ServerState, now_ms: int) -> None:
+    def _remove_server(self, row: Row, known: ServerState, now_ms: int, source: str) -> None:
+        self._record_departure(known, Departure(now_ms, source, row.revision))
         if (
             row.value is None
             and now_ms < self.removal_grace_until_ms
@@ -268,8 +309,17 @@
             known.missing_since_ms = (
                 now_ms if known.missing_since_ms is None else known.missing_since_ms
             )
+            logger.info(
+                "backend server {} has no registration since revision {} from {}; it is kept, as"
+                " the store was unavailable",
+                row.key.key,
+                row.revision,
+                source,
+            )
             return
-        logger.info("backend server {} removed, revision {}", row.key.key, row.revision)
+        logger.info(
+            "backend server {} removed, revision {} from {}", row.key.key, row.revision, source
+        )
         del self.servers[row.key.key]
 
     def _recently_evacuated(self, failure_domain: str, now_ms: int) -> bool:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
@@ -1,5 +1,7 @@
 """State of a backend server on one VM: its registration, load, latency and failures."""
 
+from typing import NamedTuple
+
 from berylbankd._internal.models.types import BackendServer
 from berylbankd._internal.steering.server_limits import (
     LIMIT_TTL_MS,
@@ -22,11 +24,24 @@
 REGISTRATION_DELAY_MS = 300
 
 
+class Departure(NamedTuple):
+    """When and how this VM learned that a server wants no more requests, for logs and metrics.
+
+    ``revision`` is that of the row that said so, 0 where the server itself did.
+    """
+
+    known_ms: int
+    source: str
+    revision: int
+
+
 class ServerState:
     """One backend server: its latest registration and what this VM observed of it.
 
     ``failures`` counts consecutive failed requests, ``ejection_ms`` is how long the next ejection
     lasts. ``missing_since_ms`` is set while the registration is missing after a store outage.
+    ``departure`` is set once this VM knows that the server wants no more requests, and
+    ``last_sent_ms`` is when this VM last began to send it one.
     ``leaving`` is set once the server has said in a response that it will stop, and until
     ``paused_until_ms`` it wants no requests from this VM. ``limit`` is set while it allows only
     some requests per second, and ``unlimited_ms`` is when a response showed the end of a limit.
@@ -51,6 +66,8 @@
         self.limit: ServerLimit | None = None
         self.unlimited_ms = -OBSERVATION_MS
         self.missing_since_ms: int | None = None
+        self.departure: Departure | None = None
+        self.last_sent_ms: int | None = None
         self.update_registration(registration, now_ms)
 
     def update_registration(self, registration: BackendServer, now_ms: int) -> None:
@@ -65,9 +82,18 @@
             self.limit, self.unlimited_ms = None, -OBSERVATION_MS
         self.registration = registration
         self.missing_since_ms = None
+        if not registration.draining and not self.leaving:
+            self.departure = None
         if registration.warmup_left_ms:
             self.cold_until_ms = now_ms + registration.warmup_left_ms + REGISTRATION_DELAY_MS
 
+    def record_departure(self, departure: Departure) -> bool:
+        """Record that the server wants no more requests; return whether it is the first news."""
+        if self.departure is not None:
+            return False
+        self.departure = departure
+        return True
+
     def is_cold(self, now_ms: int) -> bool:
         """Tell whether the server is warming up and accepts only a low rate."""
         return now_ms < self.cold_until_ms
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -95,6 +95,7 @@
         self.hashed_generation = -1
         self.servers_with_peer_load: set[str] = set()
         self.slow_tick_elapsed_ms = SLOW_TICK_INTERVAL_MS
+        self.record_departure_delay: Callable[[int], None] = lambda _: None
         self.fleet_share = self.membership.fleet_share(now_ms)
         self.possible_vms = self.membership.possible_vm_count(now_ms)
         self.hears_majority = False
@@ -223,7 +224,7 @@
                 "any number of" if state.limit is None else state.limit.rate_per_s,
             )
         if notices.leaving:
-            self.routing_state.mark_leaving(state)
+            self.routing_state.mark_leaving(state, now_ms)
         if notices.pause_ms is not None:
             state.paused_until_ms = max(state.paused_until_ms, now_ms + notices.pause_ms)
 
@@ -329,6 +330,8 @@
     def _slow_tick(self, elapsed_ms: int, now_ms: int) -> None:
         """Update what takes a pass over all backend servers and changes only over seconds."""
         self.routing_state.remove_missing_servers(now_ms)
+        for delay_ms in self.routing_state.report_departures(now_ms):
+            self.record_departure_delay(delay_ms)
         for state in self.routing_state.servers.values():
             state.forget_old_limit(now_ms)
         for server_id in self.cold_server_buckets.keys() - self.routing_state.servers.keys():
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -120,6 +120,7 @@
         self.round_trip_meter = RoundTripMeter(self.steering, deployment.peer_port, self.clock)
         self.peer_transport = PeerTransport(deployment.host, deployment.peer_port, self)
         self.metrics = Metrics()
+        self.steering.record_departure_delay = self.metrics.departure_delay.record
         request_log = RequestLog(self.metrics, self.logs)
         rate_limiter = RateLimiter(self.steering, self.peer_transport, self.clock)
         self.caller_app = CallerApp(
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -1072,6 +1072,21 @@
     assert context.routing_state.servers_of("desk") == []
 
 
+@when("its draining state arrives at {known:d} ms, and its last request was sent at {sent:d} ms")
+def step_draining_and_last_request(context, known, sent):
+    state = context.routing_state.servers["s0"]
+    status = {"state": "draining", "warmupLeftS": 0, "sequence": 2}
+    context.routing_state.apply_rows([server_row("s0", 2, status=status)], "feed", known)
+    state.last_sent_ms = sent
+
+
+@then("{delay:d} ms are reported as the delay of its departure, once, from {ms:d} ms on")
+def step_departure_delay(context, delay, ms):
+    assert context.routing_state.report_departures(ms - 1) == []
+    assert context.routing_state.report_departures(ms) == [delay]
+    assert context.routing_state.report_departures(ms + 1) == []
+
+
 @when('a server of version "v2" registers')
 def step_new_version(context):
     assert context.routing_state.stable_version("desk") == "v1"
@@ -1305,10 +1320,10 @@
     state = context.routing_state
     apply_server = state._apply_server
 
-    def fail_once(row, now_ms):
+    def fail_once(row, *arguments):
         if row.key.key == "n1":
             raise RuntimeError("row of an unknown shape")
-        apply_server(row, now_ms)
+        apply_server(row, *arguments)
 
     state._apply_server = fail_once
     context.lines = []
--- a/tests/unit/steering/rows.feature
+++ b/tests/unit/steering/rows.feature
@@ -77,6 +77,16 @@
     When the store comes back without its registration
     Then the server is used for 2000 ms and then removed
 
+  Scenario Outline: the delay from the news of a server's departure to the last request is reported
+    Given a routing state with a server in "a"
+    When its draining state arrives at 1000 ms, and its last request was sent at <sent> ms
+    Then <delay> ms are reported as the delay of its departure, once, from 6000 ms on
+
+    Examples:
+      | sent | delay |
+      | 900  | 0     |
+      | 1030 | 30    |
+
   Scenario: a new version gets no requests before its release is ordered
     Given a routing state with a server in "a"
     When a server of version "v2" registers
