Put off removals only after the store was away for the whole fleet

What callers saw: a request could reach a server up to 2 s, and up to half a second more for a tick, after its VM had learned that the server left, on top of the time to learn of it: more than 2.5 s in all.

Cause: one failed call of one VM (a time-out of its own, a store that turned it away) opened REMOVAL_GRACE_MS for every removal that the VM applied after its next successful call, counted anew from each removal. A VM that had made no call during a real outage, as it fetches its rows from others, had no such time: it dropped at once the living servers whose registrations had expired.

Digests now tell how long ago the store answered any VM. The time for registrations to be renewed opens only if it answered nobody for two heartbeats and two digest intervals, on every VM, and ends 2.4 s after its return whenever the removal is learned. It is looked at before each pick and again before each send.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from berylbank._internal.utils.clock import Clock
+from berylbankd._internal.feeds.store_watch import StoreWatch
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.models.rows import (
     HistoryLostError,
@@ -23,7 +24,13 @@
     StoreError,
     TableSnapshot,
 )
-from berylbankd._internal.peers.messages import Member, Position, StateDigest, TableRows
+from berylbankd._internal.peers.messages import (
+    UNKNOWN_AGE_MS,
+    Member,
+    Position,
+    StateDigest,
+    TableRows,
+)
 from berylbankd._internal.peers.transport import fetch_rows
 from berylbankd._internal.steering.membership import (
     LISTED_TIMEOUT_MS,
@@ -64,6 +71,9 @@
 # Reads may be stale for some seconds after the store has compacted its history, so the table is
 # read again at these times after the first read.
 REREAD_TIMES_S = (1.5, 3.5)
+# Registrations expire after three heartbeat intervals without a heartbeat, the first of which may
+# have begun before an outage of the store; an outage of fewer intervals than these expires none.
+MIN_OUTAGE_HEARTBEATS = 2
 # A reader waits this long for its own long poll before it fetches newer rows from another VM.
 READER_FETCH_DELAY_S = 0.4
 
@@ -104,6 +114,7 @@
         self.on_store_lost = on_store_lost
         self.row_cache = RowCache()
         self.store_available = True
+        self.store_watch = StoreWatch()
         self.is_reader = self.may_read = False
         self.became_reader = anyio.Event()
         self.reader_scopes: dict[str, anyio.CancelScope] = {}
@@ -143,6 +154,8 @@
 
     def handle_digest(self, digest: StateDigest) -> None:
         """Take over if a reader states that the store does not answer it, and fetch newer rows."""
+        if digest.store_age_ms != UNKNOWN_AGE_MS:
+            self._record_store_answer(self.clock.now_ms() - digest.store_age_ms)
         is_reading = all(
             item.reading
             for domain in digest.domains
@@ -275,13 +288,28 @@
         )
         self._report_changes(changed, "read", now_ms)
 
+    def _record_store_answer(self, answered_ms: int) -> None:
+        # Digests tell of answers up to two intervals late.
+        min_outage_ms = (
+            MIN_OUTAGE_HEARTBEATS * self.membership.deployment.heartbeat_ms
+            + 2 * self.membership.digest_interval_ms()
+        )
+        if self.store_watch.record_answer(answered_ms, min_outage_ms):
+            # Registrations of backend servers that expired meanwhile may still be renewed.
+            self.routing_state.removal_grace_until_ms = answered_ms + REMOVAL_GRACE_MS
+            logger.info(
+                "store answers again after an outage for all VMs; servers without a registration"
+                " are kept for {} ms",
+                self.routing_state.removal_grace_until_ms - self.clock.now_ms(),
+            )
+
     def _set_store_available(self, available: bool, reason: str) -> None:
+        if available:
+            self._record_store_answer(self.clock.now_ms())
         if available == self.store_available:
             return
         self.store_available = available
         if available:
-            # Registrations of backend servers that expired during the outage may still be renewed.
-            self.routing_state.removal_grace_until_ms = self.clock.now_ms() + REMOVAL_GRACE_MS
             logger.info("store is available again")
         else:
             logger.warning(
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -180,6 +180,7 @@
     def _is_still_usable(self, pick: Pick) -> bool:
         """Tell whether the server may still get requests, which can change while connecting."""
         routing_state = self.steering.routing_state
+        routing_state.remove_missing_servers(self.clock.now_ms())
         current = routing_state.servers.get(pick.server.registration.id)
         return (
             current is pick.server
--- a/packages/berylbankd/src/berylbankd/_internal/platform/settings.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/settings.py
@@ -12,6 +12,7 @@
 # Offsets into the range ``ephemeralPorts``, whose ports are free for traffic between VMs.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
+DEFAULT_HEARTBEAT_S = 1.5
 
 
 def load_deployment(path: Path) -> Deployment:
@@ -60,6 +61,7 @@
         link_mbps=float(limits.get("bandwidthMbps", 1000)),
         bounds=decode_bounds(raw.get("bounds", [])),
         first_start=raw.get("bootstrap") is True,
+        heartbeat_ms=int(float(raw.get("heartbeatS", DEFAULT_HEARTBEAT_S)) * 1000),
     )
 
 
--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -19,6 +19,7 @@
 
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.peers.messages import (
+    UNKNOWN_AGE_MS,
     DigestScope,
     DomainMembers,
     Member,
@@ -81,6 +82,7 @@
     organisations: Mapping[int, float]
     releases: tuple[ReleaseReport, ...]
     limits: Mapping[int, float] = MappingProxyType({})
+    store_age_ms: int = UNKNOWN_AGE_MS
 
 
 class OutgoingDigest(NamedTuple):
@@ -392,6 +394,7 @@
             (RegionSums(deployment.region, own.demands, own.organisations),),
             own.releases,
             limits=own.limits,
+            store_age_ms=own.store_age_ms,
         )
 
     def _make_collector_digests(
--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -18,9 +18,9 @@
 from berylbankd._internal.steering.servers import Departure, ServerState
 from berylbankd._internal.supervision import describe_error
 
-# Servers whose registrations were lost during a store outage register again within this time, or
-# are removed.
-REMOVAL_GRACE_MS = 2_000
+# Servers whose registrations expired while the store was away register again within two seconds of
+# its return; the rest is for the time until this VM learns of it.
+REMOVAL_GRACE_MS = 2_400
 # Up to this many rows applied together, each new backend server is logged; logging a whole table
 # row by row would slow down the start.
 MAX_SERVERS_LOGGED = 20
@@ -76,8 +76,8 @@
     ``evacuated_domains`` maps the rows that order an evacuation to their failure domains.
     ``version_checked_generation`` is the generation at which a service's stable version was last
     checked. ``logs_each_server`` tells whether each new server is logged. Until
-    ``removal_grace_until_ms`` a registration that disappeared, as in a store outage, does not
-    remove its server at once. ``departed`` are the servers whose departure is to be reported.
+    ``removal_grace_until_ms`` a registration that disappeared does not remove its server, as the
+    store was away before. ``departed`` are the servers whose departure is to be reported.
     """
 
     def __init__(self, row_codec: RowCodec) -> None:
@@ -93,6 +93,7 @@
         self.stable_versions: dict[str, str] = {}
         self.version_checked_generation: dict[str, int] = {}
         self.removal_grace_until_ms = 0
+        self.may_miss_servers = False
         self.generation = 0
         self.logs_each_server = True
         self.departed: list[ServerState] = []
@@ -204,11 +205,11 @@
 
     def remove_missing_servers(self, now_ms: int) -> None:
         """Remove servers that have not registered again since a store outage."""
+        if not self.may_miss_servers or now_ms < self.removal_grace_until_ms:
+            return
+        self.may_miss_servers = False
         for server_id, state in list(self.servers.items()):
-            if (
-                state.missing_since_ms is not None
-                and now_ms - state.missing_since_ms >= REMOVAL_GRACE_MS
-            ):
+            if state.missing:
                 logger.info("backend server {} removed: it did not register again", server_id)
                 del self.servers[server_id]
                 self.generation += 1
@@ -306,12 +307,10 @@
             and now_ms < self.removal_grace_until_ms
             and not known.registration.draining
         ):
-            known.missing_since_ms = (
-                now_ms if known.missing_since_ms is None else known.missing_since_ms
-            )
+            known.missing = self.may_miss_servers = True
             logger.info(
                 "backend server {} has no registration since revision {} from {}; it is kept, as"
-                " the store was unavailable",
+                " the store was away",
                 row.key.key,
                 row.revision,
                 source,
--- a/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/servers.py
@@ -39,7 +39,7 @@
     """One backend server: its latest registration and what this VM observed of it.
 
     ``failures`` counts consecutive failed requests, ``ejection_ms`` is how long the next ejection
-    lasts. ``missing_since_ms`` is set while the registration is missing after a store outage.
+    lasts. ``missing`` is set while the registration is missing after a store outage.
     ``departure`` is set once this VM knows that the server wants no more requests, and
     ``last_sent_ms`` is when this VM last began to send it one.
     ``leaving`` is set once the server has said in a response that it will stop, and until
@@ -65,7 +65,7 @@
         self.leaving = False
         self.limit: ServerLimit | None = None
         self.unlimited_ms = -OBSERVATION_MS
-        self.missing_since_ms: int | None = None
+        self.missing = False
         self.departure: Departure | None = None
         self.last_sent_ms: int | None = None
         self.update_registration(registration, now_ms)
@@ -81,7 +81,7 @@
             self.leaving, self.paused_until_ms = False, 0
             self.limit, self.unlimited_ms = None, -OBSERVATION_MS
         self.registration = registration
-        self.missing_since_ms = None
+        self.missing = False
         if not registration.draining and not self.leaving:
             self.departure = None
         if registration.warmup_left_ms:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -12,7 +12,12 @@
 
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.models.types import ReleaseState, Route, ServerNotices
-from berylbankd._internal.peers.messages import Member, ReleaseReport, StateDigest
+from berylbankd._internal.peers.messages import (
+    UNKNOWN_AGE_MS,
+    Member,
+    ReleaseReport,
+    StateDigest,
+)
 from berylbankd._internal.steering.digest_exchange import DigestExchange, OwnState
 from berylbankd._internal.steering.fleet_sums import FleetSums, hash_name, make_empty_sums
 from berylbankd._internal.steering.membership import Membership
@@ -37,7 +42,7 @@
 
 # Upper limit for requests queued per slot of a server; less where they would miss the deadline.
 MAX_QUEUE_PER_SLOT = 1.0
-# Interval at which demand, region splits and missing servers are updated.
+# Interval at which demand and region splits are updated.
 SLOW_TICK_INTERVAL_MS = 500
 # Weight of the latest sample in the moving averages of demand and service time.
 DEMAND_WEIGHT = 0.36
@@ -105,6 +110,7 @@
 
     def pick(self, request: PickRequest, now_ms: int) -> Pick | None:
         """Choose a backend server for a request, or return None where none has capacity."""
+        self.routing_state.remove_missing_servers(now_ms)
         release = self.releases.get(request.service)
         if release is None:
             return self._pick_version(request, False, now_ms)
@@ -280,7 +286,12 @@
         return must_answer
 
     def make_own_state(
-        self, ready: bool, reading: bool, positions: Mapping[str, int], now_ms: int
+        self,
+        ready: bool,
+        reading: bool,
+        positions: Mapping[str, int],
+        now_ms: int,
+        store_age_ms: int = UNKNOWN_AGE_MS,
     ) -> OwnState:
         """Return what this VM tells the others of itself."""
         return OwnState(
@@ -297,6 +308,7 @@
             _hash_reportable(self.quotas.advertised_demand),
             tuple(release.make_report(now_ms) for release in self.releases.values()),
             self._observed_limits(now_ms),
+            store_age_ms,
         )
 
     def _observed_limits(self, now_ms: int) -> dict[int, float]:
@@ -329,7 +341,6 @@
 
     def _slow_tick(self, elapsed_ms: int, now_ms: int) -> None:
         """Update what takes a pass over all backend servers and changes only over seconds."""
-        self.routing_state.remove_missing_servers(now_ms)
         for delay_ms in self.routing_state.report_departures(now_ms):
             self.record_departure_delay(delay_ms)
         for state in self.routing_state.servers.values():
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -297,6 +297,7 @@
             self.row_replicator.store_available,
             self.row_replicator.row_cache.positions,
             now_ms,
+            self.row_replicator.store_watch.age_ms(now_ms),
         )
 
     # Stopping and reloading
--- /dev/null
+++ b/tests/steps/departure_steps.py
@@ -0,0 +1,158 @@
+"""Steps on backend servers whose registration disappears from the store."""
+
+import anyio
+from behave import given, then, when
+
+from berylbankd._internal.models.rows import StoreError
+from tests.support.replication import NOW_MS, SERVERS, ReplicatingFleet
+
+STEP_MS = 100
+WATCHED_MS = 5_000
+
+
+@given('two VMs that know backend servers "s0" and "s1"')
+def step_two_vms(context):
+    context.fleet = ReplicatingFleet(2)
+    context.fleet.put_server("s0")
+    context.fleet.put_server("s1")
+    for vm in context.fleet.vms:
+        anyio.run(vm.read, SERVERS)
+
+
+def used_servers(vm):
+    """Return the servers that the VM would choose from at this time."""
+    vm.routing_state.remove_missing_servers(vm.fleet.clock.now_ms())
+    return {state.registration.id for state in vm.routing_state.servers_of("desk")}
+
+
+def wait(fleet, duration_ms, readers):
+    """Let time pass; the readers call the store, and each VM tells the other what it knows."""
+    for _ in range(duration_ms // STEP_MS):
+        fleet.clock.time_ms += STEP_MS
+        for reader in readers:
+            anyio.run(call_store, reader)
+        first, second = fleet.vms
+        anyio.run(second.fetch, first, SERVERS)
+        anyio.run(first.fetch, second, SERVERS)
+
+
+async def call_store(vm):
+    try:
+        await vm.read(SERVERS)
+    except StoreError as error:
+        vm.replicator._set_store_available(False, error.reason)
+
+
+@when("a call of the second VM to the store fails, and its next one {ms:d} ms later succeeds")
+def step_one_failure(context, ms):
+    first, second = context.fleet.vms
+    wait(context.fleet, 1_000, [first])
+    second.store.turned_away = True
+    anyio.run(call_store, second)
+    second.store.turned_away = False
+    wait(context.fleet, ms, [first])
+    anyio.run(call_store, second)
+
+
+@when("the store turns the second VM away for {ms:d} ms and goes on serving the first one")
+def step_turned_away(context, ms):
+    first, second = context.fleet.vms
+    second.store.turned_away = True
+    wait(context.fleet, ms, [first, second])
+    second.store.turned_away = False
+    anyio.run(call_store, second)
+
+
+@when('server "s1" leaves {ms:d} ms later, and the second VM learns of it after another {lag:d} ms')
+def step_leaves(context, ms, lag):
+    first, second = context.fleet.vms
+    context.fleet.clock.time_ms += ms
+    context.fleet.remove_server("s1")
+    context.fleet.clock.time_ms += lag
+    anyio.run(first.read, SERVERS)
+    anyio.run(second.fetch, first, SERVERS)
+
+
+@when("the store is away for {away:d} ms and back for {back:d} ms")
+def step_away_and_back(context, away, back):
+    fleet = context.fleet
+    fleet.store_away = True
+    wait(fleet, away, fleet.vms)
+    fleet.store_away = False
+    context.back_ms = fleet.clock.now_ms() + STEP_MS
+    wait(fleet, back, fleet.vms)
+
+
+@when(
+    'the store is away for {ms:d} ms, and the registration of "s1" is gone when the first VM reads'
+    " it again"
+)
+def step_expired(context, ms):
+    fleet = context.fleet
+    fleet.store_away = True
+    wait(fleet, ms, fleet.vms[:1])
+    fleet.store_away = False
+    fleet.remove_server("s1")
+    context.back_ms = fleet.clock.now_ms()
+    anyio.run(call_store, fleet.vms[0])
+
+
+@when("the second VM learns of it from the first VM {ms:d} ms later")
+def step_learns(context, ms):
+    first, second = context.fleet.vms
+    context.fleet.clock.time_ms += ms
+    anyio.run(second.fetch, first, SERVERS)
+
+
+@when(
+    '"s1" registers again {ms:d} ms after the store\'s return, and both VMs learn of it within'
+    " {lag:d} ms"
+)
+def step_registers_again(context, ms, lag):
+    fleet = context.fleet
+    while fleet.clock.now_ms() < context.back_ms + ms:
+        assert used_servers(fleet.vms[0]) == used_servers(fleet.vms[1]) == {"s0", "s1"}
+        fleet.clock.time_ms += STEP_MS
+    fleet.put_server("s1")
+    while fleet.clock.now_ms() < context.back_ms + ms + lag - STEP_MS:
+        fleet.clock.time_ms += STEP_MS
+        assert used_servers(fleet.vms[0]) == used_servers(fleet.vms[1]) == {"s0", "s1"}
+    anyio.run(call_store, fleet.vms[0])
+    anyio.run(fleet.vms[1].fetch, fleet.vms[0], SERVERS)
+
+
+def assert_uses(context, vms, expected, duration_ms):
+    end_ms = context.fleet.clock.now_ms() + duration_ms
+    while context.fleet.clock.now_ms() < end_ms:
+        for vm in vms:
+            found = used_servers(vm)
+            assert found == expected, (context.fleet.clock.now_ms() - NOW_MS, vm.name, found)
+        context.fleet.clock.time_ms += STEP_MS
+
+
+@then('the second VM uses the servers "s0" from then on')
+def step_uses_one(context):
+    assert_uses(context, context.fleet.vms[1:], {"s0"}, WATCHED_MS)
+
+
+@then('the second VM uses the servers "s0" from {ms:d} ms after the store\'s return on')
+def step_uses_one_later(context, ms):
+    fleet = context.fleet
+    assert fleet.clock.now_ms() < context.back_ms + ms
+    fleet.clock.time_ms = context.back_ms + ms
+    assert_uses(context, fleet.vms[1:], {"s0"}, WATCHED_MS)
+
+
+@then('both VMs use the servers "s0" and "s1" from then on')
+def step_both_use_two(context):
+    assert_uses(context, context.fleet.vms, {"s0", "s1"}, WATCHED_MS)
+
+
+@then(
+    'both VMs use the servers "s0" and "s1" until {ms:d} ms after the store\'s return, and then'
+    ' "s0"'
+)
+def step_both_use_until(context, ms):
+    left_ms = context.back_ms + ms - context.fleet.clock.now_ms()
+    assert_uses(context, context.fleet.vms, {"s0", "s1"}, left_ms)
+    assert_uses(context, context.fleet.vms, {"s0"}, WATCHED_MS)
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -6,7 +6,7 @@
 import httpx
 
 from berylbankd._internal.feeds.row_replicator import RowReplicator
-from berylbankd._internal.models.rows import FeedBatch, Row, RowKey, TableSnapshot
+from berylbankd._internal.models.rows import FeedBatch, Row, RowKey, StoreError, TableSnapshot
 from berylbankd._internal.peers.codec import encode_rows
 from berylbankd._internal.peers.messages import (
     DigestScope,
@@ -26,10 +26,13 @@
 
 
 class FixedClock:
-    """A clock that stands still."""
+    """A clock that stands still until it is set."""
+
+    def __init__(self):
+        self.time_ms = NOW_MS
 
     def now_ms(self):
-        return NOW_MS
+        return self.time_ms
 
 
 class ChangingStore:
@@ -70,21 +73,46 @@
         return FeedBatch(tuple(newest.values()), self.revision)
 
 
+class VmStore:
+    """The store as one VM reaches it; ``turned_away`` lets the VM's calls fail."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.turned_away = False
+
+    def check(self):
+        if self.turned_away or self.fleet.store_away:
+            raise StoreError("ReadTimeout")
+
+    async def read_table(self, table):
+        self.check()
+        return await self.fleet.store.read_table(table)
+
+    async def wait_for_changes(self, table, after_revision, wait_ms):
+        self.check()
+        return await self.fleet.store.wait_for_changes(table, after_revision, wait_ms)
+
+    async def write(self, key, value, expected_revision):
+        self.check()
+        return await self.fleet.store.write(key, value, expected_revision)
+
+
 class ReplicatingVm:
     """One VM's replicator; fetches from other VMs reach their replicators directly."""
 
     def __init__(self, fleet, number):
         self.name, self.host = f"vm-{number}", f"10.0.0.{number}"
         self.fleet = fleet
+        self.store = VmStore(fleet)
         self.membership = Membership(make_deployment(self.name))
         self.routing_state = RoutingState(ROW_CODEC)
         client = httpx.AsyncClient(transport=httpx.MockTransport(fleet.serve_rows))
         self.replicator = RowReplicator(
-            fleet.store,
+            self.store,
             client,
             self.routing_state,
             self.membership,
-            clock=FixedClock(),
+            clock=fleet.clock,
             peer_port=1,
             on_change=lambda: None,
             on_store_lost=lambda: None,
@@ -103,10 +131,12 @@
     async def fetch(self, source, table):
         """Fetch newer rows from one other VM, whose digest has just arrived."""
         revision = source.replicator.row_cache.position(table)
+        self.membership.sources.clear()
+        digest = make_positions_digest(source, {table: revision})
+        self.membership.record_digest(digest, self.fleet.clock.now_ms())
+        self.replicator.handle_digest(digest)
         if revision <= self.replicator.row_cache.position(table):
             return
-        self.membership.sources.clear()
-        self.membership.record_digest(make_positions_digest(source, {table: revision}), NOW_MS)
         await self.replicator._fetch_from_peers(table, revision)
 
     def live_rows(self, table):
@@ -126,6 +156,7 @@
         sequence,
         positions=tuple(Position(table, revision) for table, revision in positions.items()),
         domains=(DomainMembers("a", (member,)),),
+        store_age_ms=source.replicator.store_watch.age_ms(source.fleet.clock.now_ms()),
     )
 
 
@@ -133,7 +164,8 @@
     """A store and VMs that hold copies of its rows."""
 
     def __init__(self, vms):
-        self.store = ChangingStore()
+        self.store, self.clock = ChangingStore(), FixedClock()
+        self.store_away = False
         self.sent_rows = 0
         self.silent_hosts = set()
         self.vms = [ReplicatingVm(self, number) for number in range(vms)]
--- /dev/null
+++ b/tests/unit/feeds/departures.feature
@@ -0,0 +1,39 @@
+Feature: Backend servers whose registration disappears
+
+  # Issue 43: a VM of which one call had failed went on using each server that left in the next seconds.
+  Scenario: one failed call of a VM does not put off the removal of a server that leaves
+    Given two VMs that know backend servers "s0" and "s1"
+    When a call of the second VM to the store fails, and its next one 300 ms later succeeds
+    And server "s1" leaves 100 ms later, and the second VM learns of it after another 400 ms
+    Then the second VM uses the servers "s0" from then on
+
+  Scenario: a store that turns some VMs away for long does not put off the removal of a server that leaves
+    Given two VMs that know backend servers "s0" and "s1"
+    When the store turns the second VM away for 9000 ms and goes on serving the first one
+    And server "s1" leaves 100 ms later, and the second VM learns of it after another 400 ms
+    Then the second VM uses the servers "s0" from then on
+
+  Scenario: servers whose registrations expired while the store was away are used for two seconds more by all VMs
+    Given two VMs that know backend servers "s0" and "s1"
+    When the store is away for 6000 ms, and the registration of "s1" is gone when the first VM reads it again
+    And the second VM learns of it from the first VM 300 ms later
+    Then both VMs use the servers "s0" and "s1" until 2400 ms after the store's return, and then "s0"
+
+  Scenario: a server that registers again within two seconds of the store's return is used throughout
+    Given two VMs that know backend servers "s0" and "s1"
+    When the store is away for 6000 ms, and the registration of "s1" is gone when the first VM reads it again
+    And the second VM learns of it from the first VM 300 ms later
+    And "s1" registers again 2000 ms after the store's return, and both VMs learn of it within 400 ms
+    Then both VMs use the servers "s0" and "s1" from then on
+
+  Scenario: a removal that is learned long after the store's return is not put off
+    Given two VMs that know backend servers "s0" and "s1"
+    When the store is away for 6000 ms and back for 2500 ms
+    And server "s1" leaves 100 ms later, and the second VM learns of it after another 400 ms
+    Then the second VM uses the servers "s0" from then on
+
+  Scenario: the put-off of a removal ends with the two seconds after the store's return, however late it is learned
+    Given two VMs that know backend servers "s0" and "s1"
+    When the store is away for 6000 ms and back for 1000 ms
+    And server "s1" leaves 100 ms later, and the second VM learns of it after another 400 ms
+    Then the second VM uses the servers "s0" from 2400 ms after the store's return on
