Read a table again before its rows count as complete

What callers saw or could see: requests sent for good, or for up to 3.5 s, to a server that had left, an evacuated failure domain or with an old configuration.

Cause: a read of the store was taken for complete up to the revision that it stated. If it was stale, what it missed below that revision never came again: the feed was followed after it, and the VM passed its position and its complete table on to others, who trusted both. Only a read after lost history was repeated, and what the repetition found was stated at the same revision, so the other VMs did not learn of it. Meanwhile, for 3.5 s, the reader did not follow the store at all.

A table that came from a read is now in doubt until a read that began 3.5 s later. Digests and fetched rows tell whether the sender is sure of its position; a VM in doubt fetches the whole table from one that is, or else reads the store itself. Doubtful rows are used and passed on at once as before, so nothing is learned later; the reader follows the feed from the first read on. A table older than the receiver's is ignored: it would add rows that were removed since.

Not shown: that the platform's store does this.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import anyio
 import httpx
@@ -28,6 +29,7 @@
     UNKNOWN_AGE_MS,
     Member,
     Position,
+    RowsRequest,
     StateDigest,
     TableRows,
 )
@@ -68,9 +70,17 @@
 # A restarted VM reads the store once after this time unless it has fetched the rows from another VM
 # by then. Otherwise, when all VMs restart together, a few VMs would have to send the rows to all.
 RESTART_READ_DELAY_S = 0.1
-# Reads may be stale for some seconds after the store has compacted its history, so the table is
-# read again at these times after the first read.
-REREAD_TIMES_S = (1.5, 3.5)
+# A read can be stale by up to some seconds after the store has compacted its history, so it is
+# repeated this long after it. After lost history it is also repeated earlier, as changes are known
+# to have been missed.
+STALE_READ_MS = 3_500
+EARLY_REREAD_MS = 1_500
+# A VM that got rows from another one waits longer, as the other one repeats its own read.
+FETCHED_REREAD_MS = (6_000, 8_000)
+REREAD_CHECK_INTERVAL_S = 0.25
+REREAD_RETRY_MS = 1_000
+# Pause between reads while the store has no history since the revision that they state.
+LOST_HISTORY_PAUSE_S = 0.5
 # Registrations expire after three heartbeat intervals without a heartbeat, the first of which may
 # have begun before an outage of the store; an outage of fewer intervals than these expires none.
 MIN_OUTAGE_HEARTBEATS = 2
@@ -84,6 +94,18 @@
     return READER_WAIT_MIN_S + spread_s * compute_reader_rank(deployment.vm)
 
 
+class Doubt(NamedTuple):
+    """Changes of a table up to a revision may be missing since ``made_ms``.
+
+    At ``due_ms`` the table is read again, unless another VM was sure of it by then.
+    """
+
+    table: str
+    revision: int
+    made_ms: int
+    due_ms: int
+
+
 class RowReplicator:
     """This VM's copy of the rows, and the tasks that keep it up to date.
 
@@ -113,6 +135,7 @@
         self.on_change = on_change
         self.on_store_lost = on_store_lost
         self.row_cache = RowCache()
+        self.doubts: list[Doubt] = []
         self.store_available = True
         self.store_watch = StoreWatch()
         self.is_reader = self.may_read = False
@@ -127,6 +150,7 @@
             for table in (row_codec.orders_table, row_codec.servers_table):
                 group.start_soon(self._follow_while_reader, table)
             group.start_soon(self._fetch_newer_rows)
+            group.start_soon(self._repeat_doubtful_reads)
             if not self.membership.deployment.first_start:
                 group.start_soon(self._read_after_restart)
             await anyio.sleep(compute_reader_start_delay_s(self.membership.deployment))
@@ -141,16 +165,18 @@
         newer = [row for row in rows if self.row_cache.apply(row)]
         self._report_changes(newer, source, now_ms)
 
-    def rows_after(self, table: str, revision: int) -> TableRows:
-        """Return what changed in a table after a revision, for another VM.
+    def rows_after(self, request: RowsRequest) -> TableRows:
+        """Return what another VM requests of a table.
 
         If this VM does not know of all removals since then, it returns the complete table.
         """
-        if not self.row_cache.knows_changes_after(table, revision):
-            snapshot = self.row_cache.snapshot(table)
-            return TableRows(table, snapshot.revision, snapshot.rows, complete=True)
-        rows = tuple(self.row_cache.rows_after(table, revision))
-        return TableRows(table, self.row_cache.position(table), rows)
+        cache, table = self.row_cache, request.table
+        position, sure = cache.position(table), cache.is_sure(table)
+        if not request.complete and cache.knows_changes_after(table, request.after):
+            rows = tuple(cache.rows_after(table, request.after))
+            return TableRows(table, position, rows, sure=sure)
+        rows = cache.snapshot(table).rows
+        return TableRows(table, position, rows, complete=True, sure=sure)
 
     def handle_digest(self, digest: StateDigest) -> None:
         """Take over if a reader states that the store does not answer it, and fetch newer rows."""
@@ -169,10 +195,8 @@
 
     def check_positions(self, digest: StateDigest) -> None:
         """Request a fetch if another VM has a newer position in a table than this one."""
-        for table, revision in digest.positions:
-            if revision > self.row_cache.position(table):
-                self.newer_position_reported.set()
-                return
+        if any(self._is_newer(position) for position in digest.positions):
+            self.newer_position_reported.set()
 
     async def read_release_states(self) -> None:
         """Read the release states, as a release may have ended before this VM started.
@@ -181,6 +205,13 @@
         """
         await self._read_table(self.routing_state.row_codec.status_table)
 
+    def _is_newer(self, position: Position) -> bool:
+        """Tell whether another VM has newer rows, or as new ones that it alone is sure of."""
+        table, known = position.table, self.row_cache.position(position.table)
+        if position.revision == known:
+            return position.sure > self.row_cache.is_sure(table)
+        return position.revision > known
+
     def _report_changes(self, rows: list[Row], source: str, now_ms: int) -> None:
         if rows:
             self.routing_state.apply_rows(rows, source, now_ms)
@@ -224,6 +255,7 @@
     async def _follow_while_reader(self, table: str) -> None:
         """Follow a table's changes whenever this VM is a reader, from the position it has."""
         pause_s = STORE_RETRY_MIN_S
+        lost_revision = -1
         while True:
             await self.became_reader.wait()
             with anyio.CancelScope() as self.reader_scopes[table]:
@@ -235,7 +267,9 @@
                     logger.warning(
                         "store has compacted the history of table {}; reading the full table", table
                     )
-                    await self._reread_until_consistent(table)
+                    if self.row_cache.position(table) == lost_revision:
+                        await anyio.sleep(LOST_HISTORY_PAUSE_S)
+                    lost_revision = await self._read_after_loss(table)
                 except StoreError as error:
                     if self.store_available:
                         pause_s = STORE_RETRY_MIN_S
@@ -243,20 +277,66 @@
                     await anyio.sleep(pause_s * random.uniform(0.5, 1.5))
                     pause_s = min(STORE_RETRY_MAX_S, pause_s * 2)
 
-    async def _reread_until_consistent(self, table: str) -> None:
-        """Read a table several times, until the store no longer returns stale rows."""
-        elapsed_s = 0.0
-        for read_at_s in (0.0, *REREAD_TIMES_S):
-            await anyio.sleep(read_at_s - elapsed_s)
-            elapsed_s = read_at_s
-            try:
-                await self._read_table(table)
-            except StoreError as error:
-                logger.info(
-                    "table {} could not be read from the store, keeping the rows known so far: {}",
-                    table,
-                    error.reason,
-                )
+    async def _read_after_loss(self, table: str) -> int:
+        """Read a table whose history was lost, and return the new position."""
+        try:
+            await self._read_table(table, EARLY_REREAD_MS)
+        except StoreError as error:
+            logger.info(
+                "table {} could not be read from the store, keeping the rows known so far: {}",
+                table,
+                error.reason,
+            )
+        return self.row_cache.position(table)
+
+    async def _repeat_doubtful_reads(self) -> None:
+        """Read tables again of which changes may be missing, until none is."""
+        while True:
+            await anyio.sleep(REREAD_CHECK_INTERVAL_S)
+            await self.repeat_due_reads()
+
+    async def repeat_due_reads(self) -> None:
+        """Read each table again that has a doubt which is due."""
+        cache, now_ms = self.row_cache, self.clock.now_ms()
+        self.doubts = [item for item in self.doubts if not cache.is_sure(item.table)]
+        for table in {doubt.table for doubt in self.doubts if doubt.due_ms <= now_ms}:
+            await self._repeat_read(table, now_ms)
+
+    async def _repeat_read(self, table: str, now_ms: int) -> None:
+        due = [item for item in self.doubts if item.table == table and item.due_ms <= now_ms]
+        try:
+            snapshot = await self.store.read_table(table)
+        except StoreError as error:
+            logger.info("table {} could not be read again, retrying: {}", table, error.reason)
+            for doubt in due:
+                self._postpone(doubt, now_ms + REREAD_RETRY_MS)
+            return
+        self._set_store_available(True, "")
+        settled = [item for item in due if now_ms - item.made_ms >= STALE_READ_MS]
+        if settled:
+            changed = self.row_cache.confirm(snapshot, max(item.revision for item in settled))
+        else:
+            # The read can still be stale, but shows more than the one before.
+            revision = max(item.revision for item in due)
+            changed = self.row_cache.apply_snapshot(snapshot._replace(revision=revision))
+        for doubt in due:
+            if doubt in settled:
+                self.doubts.remove(doubt)
+            else:
+                self._postpone(doubt, doubt.made_ms + STALE_READ_MS)
+        self._log_read(snapshot, len(changed), "again")
+        self._report_changes(changed, "repeated read", self.clock.now_ms())
+
+    def _postpone(self, doubt: Doubt, due_ms: int) -> None:
+        self.doubts.remove(doubt)
+        self.doubts.append(doubt._replace(due_ms=due_ms))
+
+    def _record_doubt(self, table: str, delay_ms: int) -> None:
+        """Have a table read again after some time if changes of it may be missing."""
+        revision, now_ms = self.row_cache.doubted.get(table), self.clock.now_ms()
+        known = {(item.table, item.revision) for item in self.doubts}
+        if revision is not None and (table, revision) not in known:
+            self.doubts.append(Doubt(table, revision, now_ms, now_ms + delay_ms))
 
     async def _follow_changes(self, table: str) -> None:
         """Apply changed rows of a table by long polls until one fails."""
@@ -271,22 +351,28 @@
                 self.on_change()
                 await anyio.sleep(AFTER_CHANGES_PAUSE_S)
 
-    async def _read_table(self, table: str) -> None:
+    async def _read_table(self, table: str, reread_ms: int = STALE_READ_MS) -> None:
+        """Read a table, and have it read again after some time, as the read may be stale."""
         snapshot = await self.store.read_table(table)
         self._set_store_available(True, "")
-        now_ms, known_revision = self.clock.now_ms(), self.row_cache.position(table)
         changed = self.row_cache.apply_snapshot(snapshot)
+        self._record_doubt(table, reread_ms)
+        self._log_read(snapshot, len(changed), "")
+        self._report_changes(changed, "read", self.clock.now_ms())
+
+    def _log_read(self, snapshot: TableSnapshot, changed: int, again: str) -> None:
         logger.info(
-            "read table {} from the store: {} rows up to revision {}, stated revision {}, known"
-            " before {}; {} rows changed",
-            table,
+            "read table {} from the store {}: {} rows up to revision {}, stated revision {};"
+            " {} rows changed, position {}, sure {}",
+            snapshot.table,
+            again,
             len(snapshot.rows),
             max((row.revision for row in snapshot.rows), default=0),
             snapshot.revision,
-            known_revision,
-            len(changed),
+            changed,
+            self.row_cache.position(snapshot.table),
+            self.row_cache.is_sure(snapshot.table),
         )
-        self._report_changes(changed, "read", now_ms)
 
     def _record_store_answer(self, answered_ms: int) -> None:
         # Digests tell of answers up to two intervals late.
@@ -325,56 +411,78 @@
             if self.is_reader:
                 await anyio.sleep(READER_FETCH_DELAY_S)
             async with anyio.create_task_group() as group:
-                for table, revision in self._find_newer_positions().items():
-                    group.start_soon(self._fetch_from_peers, table, revision)
+                for wanted in self._find_newer_positions():
+                    group.start_soon(self._fetch_from_peers, wanted)
             await anyio.sleep(AFTER_FETCH_PAUSE_S)
 
-    def _find_newer_positions(self) -> dict[str, int]:
-        newest: dict[str, int] = {}
+    def _find_newer_positions(self) -> list[Position]:
+        """Return for each table the newest position of another VM, if it is newer than here."""
         now_ms = self.clock.now_ms()
+        newest: dict[str, Position] = {}
         for source in self.membership.sources.values():
             if now_ms - source.received_ms >= LISTED_TIMEOUT_MS:
                 continue
-            for table, revision in source.positions.items():
-                if revision > self.row_cache.position(table):
-                    newest[table] = max(revision, newest.get(table, 0))
-        return newest
+            for table, held in source.positions.items():
+                if not self._is_newer(held):
+                    continue
+                newest[table] = max(held, newest.get(table, held))
+        return list(newest.values())
 
-    def _apply_fetched(self, fetched: TableRows, requested: Position, vm: str) -> None:
+    def _apply_fetched(self, fetched: TableRows, request: RowsRequest, vm: str) -> None:
         """Apply what another VM sent, unless this VM has meanwhile learned more than was sent."""
         table = fetched.table
         logger.info(
-            "fetched table {} from VM {}: {} rows after revision {}, up to {}, complete {}",
+            "fetched table {} from VM {}: {} rows after revision {}, up to {}, sure {},"
+            " complete {}",
             table,
             vm,
             len(fetched.rows),
-            requested.revision,
+            request.after,
             fetched.position,
+            fetched.sure,
             fetched.complete,
         )
-        if not fetched.complete:
-            self.apply_rows(fetched.rows, vm)
-            self.row_cache.advance_position(table, fetched.position)
-        elif fetched.position > self.row_cache.position(table):
+        cache = self.row_cache
+        if fetched.position < cache.position(table):
+            # Rows that were removed since then may be unknown here, and would be added again.
+            return
+        if fetched.complete:
             snapshot = TableSnapshot(table, fetched.rows, fetched.position)
-            changed = self.row_cache.apply_snapshot(snapshot)
+            if fetched.sure:
+                changed = cache.confirm(snapshot, fetched.position)
+            else:
+                changed = cache.apply_snapshot(snapshot)
             self._report_changes(changed, vm, self.clock.now_ms())
+        else:
+            self.apply_rows(fetched.rows, vm)
+            cache.advance_beside(table, fetched.position, sure=fetched.sure)
+        self._record_doubt(table, random.randint(*FETCHED_REREAD_MS))
 
-    async def _fetch_from_peers(self, table: str, revision: int) -> None:
-        """Fetch rows up to a revision from another VM, or from the store if no VM sends them.
+    async def _fetch_from_peers(self, wanted: Position) -> None:
+        """Fetch rows up to a position from another VM, or from the store if no VM sends them.
 
         A source that does not answer soon is given up only when another one has answered.
         """
-        position = Position(table, self.row_cache.position(table))
-        sources = rank_row_sources(table, revision, self.membership, self.clock.now_ms())
+        table = wanted.table
+        cache = self.row_cache
+        is_newer = wanted.revision > cache.position(table)
+        request = RowsRequest(table, cache.position(table), complete=not is_newer)
+        if is_newer:
+            wanted = wanted._replace(sure=False)
+        sources = rank_row_sources(wanted, self.membership, self.clock.now_ms())
         async with anyio.create_task_group() as group:
             for member in sources[:MAX_ROW_SOURCES]:
                 failed = anyio.Event()
-                group.start_soon(self._fetch_from, member, position, group.cancel_scope, failed)
+                group.start_soon(self._fetch_from, member, request, group.cancel_scope, failed)
                 with anyio.move_on_after(NEXT_SOURCE_DELAY_S):
                     await failed.wait()
+            if not is_newer:
+                # Only the confirmation is missing; this VM reads the store again in time.
+                return
             logger.info(
-                "no VM returned table {} up to revision {} yet; reading the store", table, revision
+                "no VM returned table {} up to revision {} yet; reading the store",
+                table,
+                wanted.revision,
             )
             try:
                 await self._read_table(table)
@@ -384,12 +492,12 @@
                 group.cancel_scope.cancel()
 
     async def _fetch_from(
-        self, member: Member, position: Position, scope: anyio.CancelScope, failed: anyio.Event
+        self, member: Member, request: RowsRequest, scope: anyio.CancelScope, failed: anyio.Event
     ) -> None:
         """Fetch rows from one VM; cancel the other attempts if that succeeds."""
-        fetched = await fetch_rows(self.client, member.host, self.peer_port, position)
+        fetched = await fetch_rows(self.client, member.host, self.peer_port, request)
         if fetched is None:
             failed.set()
             return
-        self._apply_fetched(fetched, position, member.vm)
+        self._apply_fetched(fetched, request, member.vm)
         scope.cancel()
--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -29,7 +29,7 @@
     TokenRequest,
 )
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 DECODE_ERRORS = (capnp.KjException, UnicodeDecodeError, ValueError, KeyError, zlib.error)
 # Rows are text with many repeated words, so the fastest level already takes most of their size.
 ROWS_COMPRESSION_LEVEL = 1
@@ -68,6 +68,7 @@
         table=table_rows.table,
         position=table_rows.position,
         complete=table_rows.complete,
+        sure=table_rows.sure,
         rows=[
             {
                 "key": row.key.key,
@@ -91,7 +92,7 @@
         decompressor = zlib.decompressobj()
         message = _schema.Rows.from_bytes_packed(decompressor.decompress(data, MAX_ROWS_BYTES))
         rows = tuple(_decode_row(message.table, item) for item in message.rows)
-        return TableRows(message.table, message.position, rows, message.complete)
+        return TableRows(message.table, message.position, rows, message.complete, message.sure)
     except DECODE_ERRORS as error:
         raise _make_decode_error(error) from None
 
@@ -168,7 +169,8 @@
         host=_require_host(digest.host),
         failure_domain=digest.failureDomain,
         positions=tuple(
-            Position(position.table, position.revision) for position in digest.positions
+            Position(position.table, position.revision, position.sure)
+            for position in digest.positions
         ),
         domains=tuple(_decode_domain(domain) for domain in digest.domains),
         live_domains=tuple(digest.liveDomains),
--- a/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
@@ -83,6 +83,7 @@
 struct Position {
   table @0 :Text;
   revision @1 :UInt64;
+  sure @2 :Bool;
 }
 
 struct Release {
@@ -109,6 +110,7 @@
   position @1 :UInt64;
   rows @2 :List(Row);
   complete @3 :Bool;
+  sure @4 :Bool;
 }
 
 struct Row {
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -47,23 +47,37 @@
 
 
 class Position(NamedTuple):
-    """The revision up to which a VM has every change of a table."""
+    """The revision up to which a VM has rows of a table.
+
+    It is ``sure`` that no change up to there is missing, unless its source was a read of the store
+    that may have been stale.
+    """
 
     table: str
     revision: int
+    sure: bool = False
+
+
+class RowsRequest(NamedTuple):
+    """A request for the changes of a table after a revision, or for the ``complete`` table."""
+
+    table: str
+    after: int
+    complete: bool = False
 
 
 class TableRows(NamedTuple):
     """Rows of one table sent to another VM, and the sender's :class:`Position` in that table.
 
     ``complete`` tells that these are all rows of the table, so that any other row was removed;
-    otherwise they are the changes since the requested position.
+    otherwise they are the changes since the requested revision. ``sure`` is that of the position.
     """
 
     table: str
     position: int
     rows: tuple[Row, ...]
     complete: bool = False
+    sure: bool = False
 
 
 class Member(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
@@ -13,7 +13,7 @@
 from berylbankd._internal.peers.codec import decode_datagram, decode_rows, encode_datagram
 from berylbankd._internal.peers.messages import (
     Datagram,
-    Position,
+    RowsRequest,
     StateDigest,
     TableRows,
     TokenGrant,
@@ -142,11 +142,13 @@
 
 
 async def fetch_rows(
-    client: httpx.AsyncClient, host: str, port: int, position: Position
+    client: httpx.AsyncClient, host: str, port: int, request: RowsRequest
 ) -> TableRows | None:
-    """Fetch from a VM the rows of a table after a position; return None if the call fails."""
+    """Fetch rows of a table from a VM; return None if the call fails."""
     url = f"http://{host}:{port}{ROWS_PATH}"
-    params = {"table": position.table, "after": str(position.revision)}
+    params = {"table": request.table, "after": str(request.after)}
+    if request.complete:
+        params["complete"] = "1"
     try:
         response = await client.get(url, params=params, timeout=FETCH_ROWS_TIMEOUT_S)
         response.raise_for_status()
@@ -154,8 +156,8 @@
     except (httpx.HTTPError, ProtocolError) as error:
         logger.info(
             "rows of table {} after revision {} could not be fetched from VM at {}: {}",
-            position.table,
-            position.revision,
+            request.table,
+            request.after,
             host,
             type(error).__name__,
         )
--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -83,6 +83,7 @@
     releases: tuple[ReleaseReport, ...]
     limits: Mapping[int, float] = MappingProxyType({})
     store_age_ms: int = UNKNOWN_AGE_MS
+    doubted_tables: frozenset[str] = frozenset()
 
 
 class OutgoingDigest(NamedTuple):
@@ -387,7 +388,10 @@
             deployment.failure_domain,
             self.incarnation,
             self.sequence,
-            tuple(Position(table, revision) for table, revision in own.positions.items()),
+            tuple(
+                Position(table, revision, table not in own.doubted_tables)
+                for table, revision in own.positions.items()
+            ),
             (DomainMembers(deployment.failure_domain, (member,)),),
             (),
             own.loads,
--- a/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/membership.py
@@ -100,7 +100,7 @@
     """The positions that a VM stated in its last digest, and when it arrived."""
 
     def __init__(self, positions: tuple[Position, ...], now_ms: int) -> None:
-        self.positions = dict(positions)
+        self.positions = {position.table: position for position in positions}
         self.received_ms = now_ms
 
 
@@ -590,10 +590,8 @@
     return ranked
 
 
-def rank_row_sources(
-    table: str, revision: int, membership: Membership, now_ms: int
-) -> list[Member]:
-    """Return the VMs heard recently that hold a table up to a revision, nearest first."""
+def rank_row_sources(wanted: Position, membership: Membership, now_ms: int) -> list[Member]:
+    """Return the VMs heard recently that hold a table up to a position, nearest first."""
     deployment = membership.deployment
 
     def sort_key(member: Member) -> tuple[bool, bool, float]:
@@ -608,6 +606,8 @@
         for vm, source in membership.sources.items()
         if vm in membership.known
         and now_ms - source.received_ms < LISTED_TIMEOUT_MS
-        and source.positions.get(table, 0) >= revision
+        and (held := source.positions.get(wanted.table)) is not None
+        and held.revision >= wanted.revision
+        and held.sure >= wanted.sure
     ]
     return sorted(sources, key=sort_key)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -12,12 +12,7 @@
 
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.models.types import ReleaseState, Route, ServerNotices
-from berylbankd._internal.peers.messages import (
-    UNKNOWN_AGE_MS,
-    Member,
-    ReleaseReport,
-    StateDigest,
-)
+from berylbankd._internal.peers.messages import Member, ReleaseReport, StateDigest
 from berylbankd._internal.steering.digest_exchange import DigestExchange, OwnState
 from berylbankd._internal.steering.fleet_sums import FleetSums, hash_name, make_empty_sums
 from berylbankd._internal.steering.membership import Membership
@@ -291,7 +286,6 @@
         reading: bool,
         positions: Mapping[str, int],
         now_ms: int,
-        store_age_ms: int = UNKNOWN_AGE_MS,
     ) -> OwnState:
         """Return what this VM tells the others of itself."""
         return OwnState(
@@ -308,7 +302,6 @@
             _hash_reportable(self.quotas.advertised_demand),
             tuple(release.make_report(now_ms) for release in self.releases.values()),
             self._observed_limits(now_ms),
-            store_age_ms,
         )
 
     def _observed_limits(self, now_ms: int) -> dict[int, float]:
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -32,7 +32,7 @@
 from berylbankd._internal.metrics import Metrics
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.peers.codec import encode_rows
-from berylbankd._internal.peers.messages import StateDigest, TokenGrant, TokenRequest
+from berylbankd._internal.peers.messages import RowsRequest, StateDigest, TokenGrant, TokenRequest
 from berylbankd._internal.peers.transport import ROWS_PATH, PeerTransport, make_incarnation
 from berylbankd._internal.platform.headers import PlatformHeaderCodec
 from berylbankd._internal.platform.lookups import PlatformLookupCodec
@@ -221,7 +221,8 @@
         table, after = query.get("table", [""])[0], query.get("after", [""])[0]
         if not after.isdigit():
             return EndpointResponse(400)
-        table_rows = self.row_replicator.rows_after(table, int(after))
+        complete = "complete" in query
+        table_rows = self.row_replicator.rows_after(RowsRequest(table, int(after), complete))
         return EndpointResponse(200, encode_rows(table_rows), b"application/octet-stream")
 
     def _serve_metrics(self, _: QueryParameters) -> EndpointResponse:
@@ -292,12 +293,13 @@
                 await anyio.sleep(URGENT_DIGEST_DELAY_S)
 
     def _make_own_state(self, now_ms: int) -> OwnState:
-        return self.steering.make_own_state(
-            self.is_ready(),
-            self.row_replicator.store_available,
-            self.row_replicator.row_cache.positions,
-            now_ms,
-            self.row_replicator.store_watch.age_ms(now_ms),
+        replicator = self.row_replicator
+        own = self.steering.make_own_state(
+            self.is_ready(), replicator.store_available, replicator.row_cache.positions, now_ms
+        )
+        return own._replace(
+            store_age_ms=replicator.store_watch.age_ms(now_ms),
+            doubted_tables=frozenset(replicator.row_cache.doubted),
         )
 
     # Stopping and reloading
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from functools import partial
 
 import anyio
 import httpx
@@ -17,6 +18,7 @@
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.rows import Row, RowKey
 from berylbankd._internal.models.types import ReleaseOrder, ReleaseState, ReleaseStatus
+from berylbankd._internal.peers.messages import Position
 from berylbankd._internal.platform.headers import PlatformHeaderCodec
 from berylbankd._internal.platform.store import HttpRowStore
 from berylbankd._internal.steering.hashing import hash_to_fraction
@@ -33,6 +35,7 @@
     ReplicatingFleet,
     make_positions_digest,
     run_random_changes,
+    run_stale_reads,
 )
 from tests.support.steering import ROW_CODEC, make_deployment, server_row
 
@@ -141,6 +144,87 @@
             assert server_ids(vm) == expected, (seed, vm.name, server_ids(vm), expected)
 
 
+@then(
+    "after {count:d} random orders in which stale reads state {which} revision all VMs have its"
+    " rows"
+)
+def step_stale_orders(context, count, which):
+    states_newest = which == "the newest"
+    for seed in range(count):
+        fleet = anyio.run(partial(run_stale_reads, states_newest=states_newest), seed, 40)
+        expected = {key.key for key in fleet.store.live_rows()}
+        for vm in fleet.vms:
+            assert server_ids(vm) == expected, (seed, vm.name, server_ids(vm), expected)
+
+
+@when(
+    'server "s1" is removed, and another VM\'s {occasion} shows the rows of 3 s ago at the newest'
+    " revision"
+)
+def step_stale_read(context, occasion):
+    fleet = context.fleet
+    fleet.clock.time_ms += 10_000
+    fleet.remove_server("s1")
+    fleet.store.stale_ms = 3_000
+    other = fleet.add_vm()
+    replicator = other.replicator
+    reads = {
+        "read at its start": replicator._read_after_restart,
+        "fall-back of a fetch": partial(replicator._fetch_from_peers, Position(SERVERS, 3)),
+        "read after a lost history": partial(replicator._read_after_loss, SERVERS),
+    }
+    anyio.run(reads[occasion])
+    assert server_ids(other) == {"s0", "s1"}
+    fleet.store.stale_ms = 0
+
+
+@then('both VMs know the servers "s0" within {seconds:d} s, without another change')
+def step_stale_read_mended(context, seconds):
+    first, other = context.fleet.vms
+    for _ in range(seconds * 4):
+        context.fleet.clock.time_ms += 250
+        for vm, source in ((first, other), (other, first)):
+            anyio.run(vm.replicator.repeat_due_reads)
+            anyio.run(vm.fetch, source, SERVERS)
+    assert server_ids(first) == server_ids(other) == {"s0"}
+
+
+@given("a VM that reads a store whose history is lost")
+def step_lost_history(context):
+    context.fleet = ReplicatingFleet(1)
+    context.fleet.put_server("s0")
+    anyio.run(context.fleet.vms[0].read, SERVERS)
+    context.fleet.store.lost_revision = 2
+    context.fleet.put_server("s2")
+
+
+@when('server "s1" is added {seconds:f} s later')
+def step_added_after_loss(context, seconds):
+    fleet = context.fleet
+    (vm,) = fleet.vms
+
+    async def follow():
+        vm.replicator.is_reader = True
+        vm.replicator.became_reader.set()
+        async with anyio.create_task_group() as group:
+            group.start_soon(vm.replicator._follow_while_reader, SERVERS)
+            await anyio.sleep(seconds)
+            fleet.put_server("s1")
+            added_s = anyio.current_time()
+            with anyio.move_on_after(4):
+                while "s1" not in server_ids(vm):
+                    await anyio.sleep(0.01)
+            context.took_s = anyio.current_time() - added_s
+            group.cancel_scope.cancel()
+
+    anyio.run(follow)
+
+
+@then("the VM knows it within {seconds:f} s")
+def step_known_soon(context, seconds):
+    assert context.took_s <= seconds, context.took_s
+
+
 @given("two VMs that know no release")
 def step_no_release(context):
     context.fleet = ReplicatingFleet(2)
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -6,13 +6,21 @@
 import httpx
 
 from berylbankd._internal.feeds.row_replicator import RowReplicator
-from berylbankd._internal.models.rows import FeedBatch, Row, RowKey, StoreError, TableSnapshot
+from berylbankd._internal.models.rows import (
+    FeedBatch,
+    HistoryLostError,
+    Row,
+    RowKey,
+    StoreError,
+    TableSnapshot,
+)
 from berylbankd._internal.peers.codec import encode_rows
 from berylbankd._internal.peers.messages import (
     DigestScope,
     DomainMembers,
     Member,
     Position,
+    RowsRequest,
     StateDigest,
 )
 from berylbankd._internal.steering.membership import Membership
@@ -36,29 +44,46 @@
 
 
 class ChangingStore:
-    """A store that keeps every change, so that it can be read and followed."""
+    """A store that keeps every change, so that it can be read and followed.
 
-    def __init__(self):
+    Reads show the rows as of ``stale_ms`` ago. They state the revision of that time, or with
+    ``states_newest`` the newest one.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.stale_ms = 0
+        self.states_newest = True
+        self.change_times_ms = []
         self.revision = 0
         self.changes = []
         self.reads = 0
         self.followed = {}
+        self.lost_revision = 0
 
     def put(self, key, value):
         self.revision += 1
         self.changes.append(Row(key, value, self.revision))
+        self.change_times_ms.append(self.clock.now_ms())
 
-    def live_rows(self):
-        newest = {row.key: row for row in self.changes}
+    def live_rows(self, age_ms=0):
+        shown_ms = self.clock.now_ms() - age_ms
+        times = zip(self.changes, self.change_times_ms, strict=True)
+        newest = {row.key: row for row, changed_ms in times if changed_ms <= shown_ms}
         return {key: row for key, row in newest.items() if row.value is not None}
 
     async def read_table(self, table):
         self.reads += 1
-        rows = tuple(row for row in self.live_rows().values() if row.key.table == table)
-        return TableSnapshot(table, rows, self.revision)
+        live = self.live_rows(self.stale_ms).values()
+        rows = tuple(row for row in live if row.key.table == table)
+        shown_ms = self.clock.now_ms() - self.stale_ms
+        shown = sum(changed_ms <= shown_ms for changed_ms in self.change_times_ms)
+        return TableSnapshot(table, rows, self.revision if self.states_newest else shown)
 
     async def wait_for_changes(self, table, after_revision, wait_ms):
         self.followed[table] = self.followed.get(table, 0) + 1
+        if after_revision < self.lost_revision:
+            raise HistoryLostError("history compacted")
         await anyio.sleep(0.1)
         return self.batch_after(table, after_revision)
 
@@ -135,9 +160,8 @@
         digest = make_positions_digest(source, {table: revision})
         self.membership.record_digest(digest, self.fleet.clock.now_ms())
         self.replicator.handle_digest(digest)
-        if revision <= self.replicator.row_cache.position(table):
-            return
-        await self.replicator._fetch_from_peers(table, revision)
+        for wanted in self.replicator._find_newer_positions():
+            await self.replicator._fetch_from_peers(wanted)
 
     def live_rows(self, table):
         rows = self.replicator.row_cache.rows.values()
@@ -154,7 +178,10 @@
         "a",
         1,
         sequence,
-        positions=tuple(Position(table, revision) for table, revision in positions.items()),
+        positions=tuple(
+            Position(table, revision, source.replicator.row_cache.is_sure(table))
+            for table, revision in positions.items()
+        ),
         domains=(DomainMembers("a", (member,)),),
         store_age_ms=source.replicator.store_watch.age_ms(source.fleet.clock.now_ms()),
     )
@@ -164,7 +191,8 @@
     """A store and VMs that hold copies of its rows."""
 
     def __init__(self, vms):
-        self.store, self.clock = ChangingStore(), FixedClock()
+        self.clock = FixedClock()
+        self.store = ChangingStore(self.clock)
         self.store_away = False
         self.sent_rows = 0
         self.silent_hosts = set()
@@ -178,8 +206,9 @@
         if request.url.host in self.silent_hosts:
             await anyio.sleep(SILENCE_S)
         source = next(vm for vm in self.vms if vm.host == request.url.host)
-        table, after = request.url.params["table"], int(request.url.params["after"])
-        table_rows = source.replicator.rows_after(table, after)
+        params = request.url.params
+        wanted = RowsRequest(params["table"], int(params["after"]), "complete" in params)
+        table_rows = source.replicator.rows_after(wanted)
         self.sent_rows += len(table_rows.rows)
         return httpx.Response(200, content=encode_rows(table_rows))
 
@@ -220,3 +249,56 @@
     for source, vm in zip(fleet.vms, fleet.vms[1:], strict=False):
         await vm.fetch(source, SERVERS)
     return fleet
+
+
+MAX_STALE_MS = 3_000
+SETTLE_MS = 15_000
+STEP_MS = 250
+
+
+async def run_stale_reads(seed, steps, *, states_newest):
+    """Change a store whose reads can be stale, and copy its rows; return the fleet when settled.
+
+    VMs start, read, follow and fetch in a random order, each as it would in its tasks.
+    """
+    rng = random.Random(seed)
+    fleet = ReplicatingFleet(4)
+    fleet.store.states_newest = states_newest
+    fleet.clock.time_ms = 2 * MAX_STALE_MS
+
+    async def read(vm):
+        fleet.store.stale_ms = rng.choice((0, rng.randrange(MAX_STALE_MS)))
+        await vm.read(SERVERS)
+
+    async def repeat_reads():
+        for vm in fleet.vms:
+            fleet.store.stale_ms = rng.choice((0, rng.randrange(MAX_STALE_MS)))
+            await vm.replicator.repeat_due_reads()
+
+    for vm in fleet.vms:
+        await read(vm)
+    for _ in range(steps):
+        fleet.clock.time_ms += rng.randrange(2 * STEP_MS)
+        vm, source = rng.sample(fleet.vms, 2)
+        action = rng.randrange(7)
+        if action <= 1:
+            fleet.put_server(f"s{rng.randrange(6)}")
+        elif action == 2:
+            fleet.remove_server(f"s{rng.randrange(6)}")
+        elif action == 3:
+            await vm.fetch(source, SERVERS)
+        elif action == 4:
+            vm.follow(SERVERS)
+        elif rng.random() < 0.5:
+            await read(vm)
+        else:
+            await read(fleet.add_vm())
+        await repeat_reads()
+    for _ in range(SETTLE_MS // STEP_MS):
+        fleet.clock.time_ms += STEP_MS
+        fleet.vms[0].follow(SERVERS)
+        await repeat_reads()
+        rng.shuffle(fleet.vms)
+        for source, vm in zip(fleet.vms, fleet.vms[1:], strict=False):
+            await vm.fetch(source, SERVERS)
+    return fleet
--- a/tests/unit/feeds/replication.feature
+++ b/tests/unit/feeds/replication.feature
@@ -23,6 +23,32 @@
   Scenario: VMs that fetch in any order from any VM end with the rows of the store
     Then after 400 random orders of changes, reads, starts and fetches all VMs have its rows
 
+  # Issue 43: a read that was stale and stated the newest revision made VMs miss changes for good.
+  Scenario Outline: VMs whose reads are stale by up to three seconds and state <revision> revision end with the rows of the store
+    Then after 500 random orders in which stale reads state <revision> revision all VMs have its rows
+
+    Examples:
+      | revision   |
+      | their own  |
+      | the newest |
+
+  Scenario Outline: a removal that a stale read missed is not lost, where the read was <occasion>
+    Given a VM that knows backend servers "s0" and "s1"
+    When server "s1" is removed, and another VM's <occasion> shows the rows of 3 s ago at the newest revision
+    And the first VM fetches the changes from the other VM
+    Then both VMs know the servers "s0" within 8 s, without another change
+
+    Examples:
+      | occasion                   |
+      | read at its start          |
+      | fall-back of a fetch       |
+      | read after a lost history  |
+
+  Scenario: a reader whose history was lost goes on following the store at once
+    Given a VM that reads a store whose history is lost
+    When server "s1" is added 1.6 s later
+    Then the VM knows it within 0.5 s
+
   Scenario: a change is sent to another VM without the rows that it has
     Given two VMs that know 300 backend servers
     When server "s1" is added and only the first VM follows the store
