Look at a server of the own interface again once the connection to it is open

A request that had taken a slot waited up to a second for a connection and was then sent whatever had happened to the server meanwhile: drained, removed or moved to another address. The platform's path looked again, the own interface did not. Shown by three scenarios of dispatch.feature, which fail without the look; the attempt then ends as not sent and another server may be tried.

Other waits between a choice and a send, by reading: on the platform's path the choice is followed by the connection alone, and by a look; a body of unknown length is buffered before the choice, and its buffered part goes out at once; a second attempt chooses anew; only one turn of the event loop lies between the look and the first byte. Own interface: a slot is assigned by what is known then, and the key and the VM's authority were looked at before the send already.

--- a/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
+++ b/packages/berylbankd/src/berylbankd/_internal/entry/dispatch.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from berylbank._internal.models.configuration import Backend
 from berylbankd._internal.backends.connection import (
     DEADLINE_REASON,
     MAX_DISCARDED_BODY_BYTES,
@@ -206,11 +207,10 @@
             attempts.deadline_ms = attempt.started_ms + exchange.service.timeout_ms
         connection.deadline_ms = attempts.deadline_ms
         self.deadline_monitor.active_connections.add(connection)
-        if not self.request_filters.may_still_run(exchange):
-            return AttemptOutcome(self.request_filters.make_revocation_refusal(exchange))
         remaining_ms = attempts.deadline_ms - attempt.started_ms
-        if remaining_ms <= 0:
-            return AttemptOutcome(Refusal(RefusalKind.DEADLINE))
+        refused = self._refuse_before_send(exchange, attempt.slot_pool, backend, remaining_ms)
+        if refused is not None:
+            return refused
         headers = make_backend_request_headers(exchange, backend.address, remaining_ms)
         body = None if exchange.body_complete and not exchange.body else self._stream_body(exchange)
         try:
@@ -222,6 +222,24 @@
             return await self._handle_failure(exchange, attempt, connection, failure)
         return await self._race(exchange, attempts, attempt, connection)
 
+    def _refuse_before_send(
+        self, exchange: Exchange, slot_pool: SlotPool, connected: Backend, remaining_ms: int
+    ) -> AttemptOutcome | None:
+        """Return why a request must not be sent any more, which can change while connecting."""
+        if not self.request_filters.may_still_run(exchange):
+            return AttemptOutcome(self.request_filters.make_revocation_refusal(exchange))
+        if remaining_ms <= 0:
+            return AttemptOutcome(Refusal(RefusalKind.DEADLINE))
+        if not self._is_still_usable(slot_pool, connected):
+            return AttemptOutcome(Refusal(RefusalKind.NO_BACKEND), retryable=True)
+        return None
+
+    def _is_still_usable(self, slot_pool: SlotPool, connected: Backend) -> bool:
+        """Tell whether a server may still get requests at the address that was connected to."""
+        pools, backend = self.coordinator.node.slots.pools, slot_pool.backend
+        is_known = pools.get(backend.name) is slot_pool
+        return is_known and not backend.draining and backend.address == connected.address
+
     async def _receive_head_unless_silent(
         self, exchange: Exchange, attempt: Attempt, connection: BackendConnection
     ) -> ResponseHead | None:
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -1,11 +1,21 @@
 """Steps on the dispatcher, with attempts that end with given outcomes."""
 
+from functools import partial
+from types import SimpleNamespace
+
 import anyio
 from behave import given, then, when
 
+from berylbank._internal.models.configuration import Backend
 from berylbankd._internal.backends.connection import BackendConnection, BackendConnectionError
 from berylbankd._internal.backends.health import BackendHealth
-from berylbankd._internal.entry.attempts import AttemptOutcome, RetryBudget
+from berylbankd._internal.backends.slots import SlotPool
+from berylbankd._internal.entry.attempts import (
+    Attempt,
+    AttemptOutcome,
+    RequestAttempts,
+    RetryBudget,
+)
 from berylbankd._internal.entry.dispatch import Dispatcher
 from berylbankd._internal.entry.exchange import Exchange
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
@@ -163,3 +173,64 @@
 @then("the attempt is {repeated}")
 def step_repeated(context, repeated):
     assert context.outcome.retryable == (repeated == "repeated"), context.outcome
+
+
+class UnusedConnection:
+    """A connection that must carry no request."""
+
+    def __init__(self):
+        self.sent = 0
+
+    async def send_request(self, *_):
+        self.sent += 1
+        raise BackendConnectionError("send")
+
+
+class ConnectingDispatcher(Dispatcher):
+    """A dispatcher with one server, to which a connection is opened while ``change`` happens."""
+
+    def __init__(self):
+        backend = Backend("server-0", "desk", "127.0.0.1:1", "one", "a", 1)
+        self.slot_pool = SlotPool(backend, 1_000)
+        self.coordinator = FakeCoordinator()
+        self.pools = {backend.name: self.slot_pool}
+        self.coordinator.node = SimpleNamespace(slots=SimpleNamespace(pools=self.pools))
+        self.request_filters = SimpleNamespace(may_still_run=lambda _: True)
+        self.deadline_monitor = SimpleNamespace(active_connections=set())
+        self.connection_pool = self
+        self.connection = UnusedConnection()
+        self.change = lambda: None
+
+    async def acquire(self, *_, **__):
+        self.change()
+        return self.connection
+
+    def replace(self, **fields):
+        self.slot_pool.backend = self.slot_pool.backend._replace(**fields)
+
+
+@given("a request that gets a slot of a server of the own interface")
+def step_slot(context):
+    context.dispatcher = ConnectingDispatcher()
+
+
+@when("the server {change} while the connection to it is opened")
+def step_change_while_connecting(context, change):
+    dispatcher = context.dispatcher
+    changes = {
+        "is drained": partial(dispatcher.replace, draining=True),
+        "gets another address": partial(dispatcher.replace, address="127.0.0.1:2"),
+        "leaves the configuration": dispatcher.pools.clear,
+    }
+    dispatcher.change = changes[change]
+    scope = {"method": "GET", "path": "/x", "raw_path": b"/x", "query_string": b"", "headers": []}
+    exchange = Exchange(scope, None, None, 0)
+    exchange.service = SimpleNamespace(timeout_ms=1_000)
+    attempt = Attempt(dispatcher.slot_pool)
+    context.outcome = anyio.run(dispatcher._connect_and_send, exchange, RequestAttempts(), attempt)
+
+
+@then("nothing is sent, and another server may be tried")
+def step_nothing_sent(context):
+    assert context.dispatcher.connection.sent == 0
+    assert context.outcome.retryable and context.outcome.refusal.ran is Ran.NO
--- a/tests/steps/entry_silent_server_steps.py
+++ b/tests/steps/entry_silent_server_steps.py
@@ -154,7 +154,10 @@
             node=SimpleNamespace(
                 leaving=False,
                 shift_controller=controller,
-                slots=SimpleNamespace(services={self.service.name: self.slots}),
+                slots=SimpleNamespace(
+                    services={self.service.name: self.slots},
+                    pools={pool.backend.name: pool for pool in self.slots.pools},
+                ),
             ),
             request_loans=lambda: None,
             update_callbacks=[],
--- a/tests/steps/response_deadline_steps.py
+++ b/tests/steps/response_deadline_steps.py
@@ -47,8 +47,9 @@
         dispatcher.request_filters = SimpleNamespace(may_still_run=lambda _: True)
         dispatcher.connection_pool = ConnectionPool()
         dispatcher.deadline_monitor = DeadlineMonitor(clock)
-        backend = SimpleNamespace(address=f"127.0.0.1:{port}", name="server-0")
+        backend = SimpleNamespace(address=f"127.0.0.1:{port}", name="server-0", draining=False)
         pool = SimpleNamespace(backend=backend, health=BackendHealth())
+        node.slots = SimpleNamespace(pools={backend.name: pool})
         dispatcher.retry_budget = RetryBudget()
         dispatcher.slot_allocator = SimpleNamespace(release_slot=lambda *_: None)
 
--- a/tests/unit/entry/dispatch.feature
+++ b/tests/unit/entry/dispatch.feature
@@ -44,3 +44,15 @@
     When the server refuses it with a body without end
     Then the attempt is repeated
     And at most 66 KiB were read before the connection was closed
+
+  # Issue 43: the wait for a connection is followed by a look at what is known.
+  Scenario Outline: a request is not sent to a server that <change> while the connection to it was opened
+    Given a request that gets a slot of a server of the own interface
+    When the server <change> while the connection to it is opened
+    Then nothing is sent, and another server may be tried
+
+    Examples:
+      | change                   |
+      | is drained               |
+      | gets another address     |
+      | leaves the configuration |
