Apply a row again whose handling failed

The row cache takes a row for known before the routing state applies it. If that failed by a fault of the VM, an error line was all: the VM's position moved on, nobody sent the row again, and a server that had left or an evacuation stayed unknown until the row changed. The new scenario of rows.feature fails without that, as nothing tries again.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -77,7 +77,8 @@
     ``version_checked_generation`` is the generation at which a service's stable version was last
     checked. ``logs_each_server`` tells whether each new server is logged. Until
     ``removal_grace_until_ms`` a registration that disappeared does not remove its server, as the
-    store was away before. ``departed`` are the servers whose departure is to be reported.
+    store was away before. ``departed`` are the servers whose departure is to be reported,
+    and ``failed_rows`` the rows whose handling failed.
     """
 
     def __init__(self, row_codec: RowCodec) -> None:
@@ -97,6 +98,7 @@
         self.generation = 0
         self.logs_each_server = True
         self.departed: list[ServerState] = []
+        self.failed_rows: dict[RowKey, Row] = {}
 
     def apply_rows(self, rows: Iterable[Row], source: str, now_ms: int) -> None:
         """Apply newer rows; more than ``MAX_SERVERS_LOGGED`` are logged as a single count.
@@ -106,16 +108,8 @@
         rows = list(rows)
         self.logs_each_server = len(rows) <= MAX_SERVERS_LOGGED
         for row in rows:
-            try:
-                self.apply_row(row, now_ms, source)
-            except Exception as error:  # a row of an unexpected kind must not stop the others
-                logger.error(
-                    "row {} of table {} at revision {} could not be applied: {}",
-                    row.key.key,
-                    row.key.table,
-                    row.revision,
-                    describe_error(error),
-                )
+            self.failed_rows.pop(row.key, None)
+            self._try_to_apply(row, source, now_ms)
         if not self.logs_each_server:
             logger.info(
                 "applied {} rows from {}; {} backend servers known",
@@ -125,6 +119,26 @@
             )
         self.logs_each_server = True
 
+    def retry_failed_rows(self, now_ms: int) -> None:
+        """Apply the rows again whose handling failed, as no other VM sends them again."""
+        failed, self.failed_rows = self.failed_rows, {}
+        for row in failed.values():
+            self._try_to_apply(row, "an earlier failure", now_ms, first=False)
+
+    def _try_to_apply(self, row: Row, source: str, now_ms: int, *, first: bool = True) -> None:
+        try:
+            self.apply_row(row, now_ms, source)
+        except Exception as error:  # a row of an unexpected kind must not stop the others
+            self.failed_rows[row.key] = row
+            if first:
+                logger.error(
+                    "row {} of table {} at revision {} could not be applied; it is tried again: {}",
+                    row.key.key,
+                    row.key.table,
+                    row.revision,
+                    describe_error(error),
+                )
+
     def apply_row(self, row: Row, now_ms: int, source: str = "") -> None:
         """Apply a row that is newer than the known one with the same key; see apply_rows."""
         self.generation += 1
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -334,6 +334,7 @@
 
     def _slow_tick(self, elapsed_ms: int, now_ms: int) -> None:
         """Update what takes a pass over all backend servers and changes only over seconds."""
+        self.routing_state.retry_failed_rows(now_ms)
         for delay_ms in self.routing_state.report_departures(now_ms):
             self.record_departure_delay(delay_ms)
         for state in self.routing_state.servers.values():
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -1318,7 +1318,7 @@
 @when("3 rows arrive and the handling of the second one fails")
 def step_failing_row(context):
     state = context.routing_state
-    apply_server = state._apply_server
+    apply_server = context.apply_server = state._apply_server
 
     def fail_once(row, *arguments):
         if row.key.key == "n1":
@@ -1334,6 +1334,24 @@
         logger.remove(sink)
 
 
+@when("the handling of rows works again, and the failed ones are tried again")
+def step_handling_works(context):
+    context.routing_state._apply_server = context.apply_server
+    context.routing_state.retry_failed_rows(20)
+
+
+@when("a newer row of the same server arrives before the failed one is tried again")
+def step_newer_row(context):
+    context.routing_state._apply_server = context.apply_server
+    context.routing_state.apply_rows([Row(server_row("n1", 0).key, None, 9)], "feed", 15)
+    context.routing_state.retry_failed_rows(20)
+
+
+@then("the servers {server_ids} are known")
+def step_servers_known(context, server_ids):
+    assert set(context.routing_state.servers) == set(server_ids.split(", "))
+
+
 @then("the servers of the first and the third one are known, and the log has an error line")
 def step_other_rows_known(context):
     assert set(context.routing_state.servers) == {"s0", "n0", "n2"}
--- a/tests/unit/steering/rows.feature
+++ b/tests/unit/steering/rows.feature
@@ -72,6 +72,19 @@
     When 3 rows arrive and the handling of the second one fails
     Then the servers of the first and the third one are known, and the log has an error line
 
+  # Issue 43: a row that could not be applied counted as known, so no VM ever sent it again.
+  Scenario: a row whose handling failed is applied later
+    Given a routing state with a server in "a"
+    When 3 rows arrive and the handling of the second one fails
+    And the handling of rows works again, and the failed ones are tried again
+    Then the servers s0, n0, n1, n2 are known
+
+  Scenario: a row whose handling failed does not replace a newer one
+    Given a routing state with a server in "a"
+    When 3 rows arrive and the handling of the second one fails
+    And a newer row of the same server arrives before the failed one is tried again
+    Then the servers s0, n0, n2 are known
+
   Scenario: servers whose registrations are lost in a store outage are kept for two seconds
     Given a routing state with a server in "a"
     When the store comes back without its registration
