Tell each other when the store last answered by the store's own clock

The mend of the put-off told by age how long ago the store had answered any VM. The tests had no delay between VMs.

Digests now carry the store's clock at its newest answer (nowS of each response about rows), which does not change on the way. Its distance to a VM's own clock, smallest ever seen, gives the time of the return on that VM.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -26,7 +26,6 @@
     TableSnapshot,
 )
 from berylbankd._internal.peers.messages import (
-    UNKNOWN_AGE_MS,
     Member,
     Position,
     RowsRequest,
@@ -180,8 +179,7 @@
 
     def handle_digest(self, digest: StateDigest) -> None:
         """Take over if a reader states that the store does not answer it, and fetch newer rows."""
-        if digest.store_age_ms != UNKNOWN_AGE_MS:
-            self._record_store_answer(self.clock.now_ms() - digest.store_age_ms)
+        self._record_store_answer(digest.store_time_ms)
         is_reading = all(
             item.reading
             for domain in digest.domains
@@ -311,7 +309,7 @@
             for doubt in due:
                 self._postpone(doubt, now_ms + REREAD_RETRY_MS)
             return
-        self._set_store_available(True, "")
+        self._set_store_available(True, "", snapshot.store_time_ms)
         settled = [item for item in due if now_ms - item.made_ms >= STALE_READ_MS]
         if settled:
             changed = self.row_cache.confirm(snapshot, max(item.revision for item in settled))
@@ -344,7 +342,7 @@
             batch = await self.store.wait_for_changes(
                 table, self.row_cache.position(table), LONG_POLL_WAIT_MS
             )
-            self._set_store_available(True, "")
+            self._set_store_available(True, "", batch.store_time_ms)
             self.apply_rows(batch.rows, "feed")
             self.row_cache.advance_position(table, batch.revision)
             if batch.rows:
@@ -354,7 +352,7 @@
     async def _read_table(self, table: str, reread_ms: int = STALE_READ_MS) -> None:
         """Read a table, and have it read again after some time, as the read may be stale."""
         snapshot = await self.store.read_table(table)
-        self._set_store_available(True, "")
+        self._set_store_available(True, "", snapshot.store_time_ms)
         changed = self.row_cache.apply_snapshot(snapshot)
         self._record_doubt(table, reread_ms)
         self._log_read(snapshot, len(changed), "")
@@ -380,18 +378,20 @@
             MIN_OUTAGE_HEARTBEATS * self.membership.deployment.heartbeat_ms
             + 2 * self.membership.digest_interval_ms()
         )
-        if self.store_watch.record_answer(answered_ms, min_outage_ms):
+        now_ms = self.clock.now_ms()
+        returned_ms = self.store_watch.record_answer(answered_ms, min_outage_ms, now_ms)
+        if returned_ms is not None:
             # Registrations of backend servers that expired meanwhile may still be renewed.
-            self.routing_state.removal_grace_until_ms = answered_ms + REMOVAL_GRACE_MS
+            self.routing_state.removal_grace_until_ms = returned_ms + REMOVAL_GRACE_MS
             logger.info(
-                "store answers again after an outage for all VMs; servers without a registration"
-                " are kept for {} ms",
-                self.routing_state.removal_grace_until_ms - self.clock.now_ms(),
+                "store answers again after an outage for all VMs, since {} ms; servers without a"
+                " registration are kept for {} ms",
+                now_ms - returned_ms,
+                self.routing_state.removal_grace_until_ms - now_ms,
             )
 
-    def _set_store_available(self, available: bool, reason: str) -> None:
-        if available:
-            self._record_store_answer(self.clock.now_ms())
+    def _set_store_available(self, available: bool, reason: str, store_time_ms: int = 0) -> None:
+        self._record_store_answer(store_time_ms)
         if available == self.store_available:
             return
         self.store_available = available
--- a/packages/berylbankd/src/berylbankd/_internal/models/rows.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/rows.py
@@ -19,18 +19,26 @@
 
 
 class TableSnapshot(NamedTuple):
-    """All rows of a table as of a revision of the store."""
+    """All rows of a table as of a revision of the store.
+
+    ``store_time_ms`` is the time of the answer by the store's clock, 0 if unknown.
+    """
 
     table: str
     rows: tuple[Row, ...]
     revision: int
+    store_time_ms: int = 0
 
 
 class FeedBatch(NamedTuple):
-    """Changed rows in order of revision; the next request continues after ``revision``."""
+    """Changed rows in order of revision; the next request continues after ``revision``.
+
+    ``store_time_ms`` is that of :class:`TableSnapshot`.
+    """
 
     rows: tuple[Row, ...]
     revision: int
+    store_time_ms: int = 0
 
 
 class StoreError(Exception):
--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -133,7 +133,7 @@
         "releases": [_encode_release(report) for report in digest.releases],
         "hosts": list(digest.hosts),
         "ageMs": digest.age_ms,
-        "storeAgeMs": digest.store_age_ms,
+        "storeTimeMs": digest.store_time_ms,
         "silent": [
             {
                 "failureDomain": silent.member.failure_domain,
@@ -185,7 +185,7 @@
         releases=tuple(_decode_release(item) for item in digest.releases),
         hosts=tuple(_require_host(host) for host in digest.hosts),
         age_ms=digest.ageMs,
-        store_age_ms=digest.storeAgeMs,
+        store_time_ms=digest.storeTimeMs,
         silent=tuple(
             SilentMember(_decode_member(item.member, item.failureDomain), item.silentMs)
             for item in digest.silent
--- a/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
@@ -42,7 +42,7 @@
   parts @15 :UInt16;
   limits @16 :Amounts;
   silent @17 :List(SilentMember);
-  storeAgeMs @18 :UInt32 = 4294967295;
+  storeTimeMs @18 :UInt64;
 }
 
 struct SilentMember {
--- a/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/messages.py
@@ -10,9 +10,6 @@
 
 from berylbankd._internal.models.rows import Row
 
-# Age of what has never happened, as far as the sender of a message knows.
-UNKNOWN_AGE_MS = 2**32 - 1
-
 
 class RouteEvidence(NamedTuple):
     """Responses that one VM received on one route since a release began.
@@ -143,8 +140,8 @@
     ``loads`` are requests in flight by the hash of the backend server's id, and ``limits`` the
     requests per second that servers take from all VMs together, 0 for one that took back its
     limit. ``hosts`` are IP addresses of some other VMs. ``age_ms`` is the age of the oldest report
-    in it at the time of sending. ``store_age_ms`` is how long before that the store last answered
-    any VM, as far as the sender knows.
+    in it at the time of sending. ``store_time_ms`` is the time, by the store's clock, of its
+    newest answer to any VM that the sender knows of, 0 if there is none.
 
     A digest of several VMs is sent in ``parts`` datagrams, each with the amounts of some names;
     releases and ``live_domains`` are in ``part`` 0. Datagrams that only list members have higher
@@ -169,7 +166,7 @@
     parts: int = 1
     limits: Mapping[int, float] = MappingProxyType({})
     silent: tuple[SilentMember, ...] = ()
-    store_age_ms: int = UNKNOWN_AGE_MS
+    store_time_ms: int = 0
 
 
 class TokenRequest(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/platform/store.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/store.py
@@ -24,6 +24,7 @@
 # Added to the wait time of a long poll, for a slow response at its end.
 LONG_POLL_MARGIN_S = 0.4
 MAX_PAGE_ROWS = 500
+MAX_STORE_TIME_MS = 2**53
 DECODE_ERRORS = (KeyError, TypeError, ValueError, OverflowError, RecursionError)
 UNREADABLE_VALUE = b""
 
@@ -48,21 +49,21 @@
             if start:
                 params["from"] = start
             body = await self._get("/v1/rows-get", params, RESPONSE_TIMEOUT_S)
-            page, page_revision, has_more = _decode_body(_decode_page, body, table)
+            page, page_revision, has_more, time_ms = _decode_body(_decode_page, body, table)
             rows.extend(page)
             # Pages are read at increasing revisions, and a row of an earlier page may have been
             # removed meanwhile, so the table as a whole is only current at the lowest revision.
             revision = page_revision if revision is None else min(revision, page_revision)
             if not has_more or not page:
-                return TableSnapshot(table, tuple(rows), revision)
+                return TableSnapshot(table, tuple(rows), revision, time_ms)
             start = page[-1].key.key + "\0"
 
     async def wait_for_changes(self, table: str, after_revision: int, wait_ms: int) -> FeedBatch:
         """Wait with a long poll for rows that changed after a revision."""
         params = {"table": table, "after": str(after_revision), "waitMs": str(wait_ms)}
         body = await self._get("/v1/rows-feed", params, wait_ms / 1000 + LONG_POLL_MARGIN_S)
-        page, revision, _ = _decode_body(_decode_page, body, table)
-        return FeedBatch(tuple(page), revision)
+        page, revision, _, time_ms = _decode_body(_decode_page, body, table)
+        return FeedBatch(tuple(page), revision, time_ms)
 
     async def write(self, key: RowKey, value: bytes, expected_revision: int) -> int:
         """Write one row on the condition that its revision is ``expected_revision``."""
@@ -74,7 +75,7 @@
         }
         response = await self._send("POST", "/v1/rows-tx", {}, body, RESPONSE_TIMEOUT_S)
         if response.status_code == httpx.codes.PRECONDITION_FAILED:
-            page, _, _ = _decode_body(_decode_page, response.content, key.table)
+            page, *_ = _decode_body(_decode_page, response.content, key.table)
             current = [row for row in page if row.key == key and row.value is not None]
             raise ConditionFailedError(current[0] if current else None)
         if response.status_code != httpx.codes.OK:
@@ -109,9 +110,10 @@
         raise StoreError(f"response cannot be decoded: {error}") from None
 
 
-def _decode_page(raw: dict[str, Any], table: str) -> tuple[list[Row], int, bool]:
+def _decode_page(raw: dict[str, Any], table: str) -> tuple[list[Row], int, bool, int]:
     rows = [_decode_row(item, table) for item in raw.get("rows", ())]
-    return rows, int(raw.get("ver", 0)), bool(raw.get("hasMore", False))
+    time_ms = min(MAX_STORE_TIME_MS, max(0, int(float(raw.get("nowS", 0)) * 1000)))
+    return rows, int(raw.get("ver", 0)), bool(raw.get("hasMore", False)), time_ms
 
 
 def _decode_row(raw: dict[str, Any], table: str) -> Row:
--- a/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/digest_exchange.py
@@ -19,7 +19,6 @@
 
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.peers.messages import (
-    UNKNOWN_AGE_MS,
     DigestScope,
     DomainMembers,
     Member,
@@ -82,7 +81,7 @@
     organisations: Mapping[int, float]
     releases: tuple[ReleaseReport, ...]
     limits: Mapping[int, float] = MappingProxyType({})
-    store_age_ms: int = UNKNOWN_AGE_MS
+    store_time_ms: int = 0
     doubted_tables: frozenset[str] = frozenset()
 
 
@@ -398,7 +397,7 @@
             (RegionSums(deployment.region, own.demands, own.organisations),),
             own.releases,
             limits=own.limits,
-            store_age_ms=own.store_age_ms,
+            store_time_ms=own.store_time_ms,
         )
 
     def _make_collector_digests(
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -298,7 +298,7 @@
             self.is_ready(), replicator.store_available, replicator.row_cache.positions, now_ms
         )
         return own._replace(
-            store_age_ms=replicator.store_watch.age_ms(now_ms),
+            store_time_ms=replicator.store_watch.last_answer_ms,
             doubted_tables=frozenset(replicator.row_cache.doubted),
         )
 
--- a/tests/steps/departure_steps.py
+++ b/tests/steps/departure_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from berylbankd._internal.models.rows import StoreError
+from berylbankd._internal.steering.routing_state import REMOVAL_GRACE_MS
 from tests.support.replication import NOW_MS, SERVERS, ReplicatingFleet
 
 STEP_MS = 100
@@ -156,3 +157,64 @@
     left_ms = context.back_ms + ms - context.fleet.clock.now_ms()
     assert_uses(context, context.fleet.vms, {"s0", "s1"}, left_ms)
     assert_uses(context, context.fleet.vms, {"s0"}, WATCHED_MS)
+
+
+DIGEST_INTERVAL_MS = 250
+TICK_MS = 20
+
+
+class DelayedDigests:
+    """VMs whose digests arrive late; the first one also calls the store, each 200 ms."""
+
+    def __init__(self, fleet, link_ms):
+        self.fleet = fleet
+        self.link_ms = link_ms
+        self.on_the_way = []
+        self.returned_ms = {}
+
+    def run(self, duration_ms, *, store_answers):
+        end_ms = self.fleet.clock.now_ms() + duration_ms
+        while self.fleet.clock.now_ms() < end_ms:
+            self.fleet.clock.time_ms += TICK_MS
+            now_ms = self.fleet.clock.now_ms()
+            if store_answers and now_ms % (10 * TICK_MS) == 0:
+                self.record(self.fleet.vms[0], now_ms)
+            for number, vm in enumerate(self.fleet.vms):
+                if (now_ms + 3 * TICK_MS * number) % DIGEST_INTERVAL_MS < TICK_MS:
+                    known_ms = vm.replicator.store_watch.last_answer_ms
+                    self.on_the_way.append((now_ms + self.link_ms, vm, known_ms))
+            arrived = [item for item in self.on_the_way if item[0] <= now_ms]
+            self.on_the_way = [item for item in self.on_the_way if item[0] > now_ms]
+            for _, sender, known_ms in arrived:
+                for vm in self.fleet.vms:
+                    if vm is not sender:
+                        self.record(vm, known_ms)
+
+    def record(self, vm, answered_ms):
+        before = vm.routing_state.removal_grace_until_ms
+        vm.replicator._record_store_answer(answered_ms)
+        if vm.routing_state.removal_grace_until_ms != before:
+            returned_ms = vm.routing_state.removal_grace_until_ms - REMOVAL_GRACE_MS
+            self.returned_ms[vm.name] = (self.fleet.clock.now_ms(), returned_ms)
+
+
+@given('four VMs that know backend servers "s0" and "s1", with links of {ms:d} ms')
+def step_four_vms(context, ms):
+    context.digests = DelayedDigests(ReplicatingFleet(4), ms)
+    context.digests.run(5_000, store_answers=True)
+
+
+@when("the store is away for {ms:d} ms while they exchange digests every 250 ms, and then back")
+def step_exchange_digests(context, ms):
+    context.digests.run(ms, store_answers=False)
+    context.back_ms = context.digests.fleet.clock.now_ms()
+    context.digests.run(2_000, store_answers=True)
+
+
+@then("each VM learns of the return within {ms:d} ms of it, to within {error:d} ms")
+def step_return_learned(context, ms, error):
+    returned = context.digests.returned_ms
+    assert set(returned) == {vm.name for vm in context.digests.fleet.vms}, returned
+    for learned_ms, returned_ms in returned.values():
+        assert learned_ms - context.back_ms <= ms, returned
+        assert 0 <= returned_ms - context.back_ms <= error, returned
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -78,7 +78,8 @@
         rows = tuple(row for row in live if row.key.table == table)
         shown_ms = self.clock.now_ms() - self.stale_ms
         shown = sum(changed_ms <= shown_ms for changed_ms in self.change_times_ms)
-        return TableSnapshot(table, rows, self.revision if self.states_newest else shown)
+        revision = self.revision if self.states_newest else shown
+        return TableSnapshot(table, rows, revision, self.clock.now_ms())
 
     async def wait_for_changes(self, table, after_revision, wait_ms):
         self.followed[table] = self.followed.get(table, 0) + 1
@@ -95,7 +96,7 @@
     def batch_after(self, table, revision):
         rows = [row for row in self.changes if row.key.table == table and row.revision > revision]
         newest = {row.key: row for row in rows}
-        return FeedBatch(tuple(newest.values()), self.revision)
+        return FeedBatch(tuple(newest.values()), self.revision, self.clock.now_ms())
 
 
 class VmStore:
@@ -183,7 +184,7 @@
             for table, revision in positions.items()
         ),
         domains=(DomainMembers("a", (member,)),),
-        store_age_ms=source.replicator.store_watch.age_ms(source.fleet.clock.now_ms()),
+        store_time_ms=source.replicator.store_watch.last_answer_ms,
     )
 
 
--- a/tests/unit/feeds/departures.feature
+++ b/tests/unit/feeds/departures.feature
@@ -37,3 +37,9 @@
     When the store is away for 6000 ms and back for 1000 ms
     And server "s1" leaves 100 ms later, and the second VM learns of it after another 400 ms
     Then the second VM uses the servers "s0" from 2400 ms after the store's return on
+
+  # On the bench, times that VMs passed on by age grew by the links' delay at each VM, and no outage was seen.
+  Scenario: an outage is seen by VMs that tell each other of the store's answers over slow links
+    Given four VMs that know backend servers "s0" and "s1", with links of 60 ms
+    When the store is away for 6000 ms while they exchange digests every 250 ms, and then back
+    Then each VM learns of the return within 600 ms of it, to within 300 ms
