--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -135,13 +135,17 @@
     assert context.fleet.sent_rows == count, context.fleet.sent_rows
 
 
+def assert_rows_of_store(fleet, seed):
+    expected = {key.key for key in fleet.store.live_rows()}
+    for vm in fleet.vms:
+        assert server_ids(vm) == expected, (seed, vm.name, server_ids(vm), expected)
+
+
 @then("after {count:d} random orders of changes, reads, starts and fetches all VMs have its rows")
 def step_random_orders(context, count):
     for seed in range(count):
         fleet = anyio.run(run_random_changes, seed, 40)
-        expected = {key.key for key in fleet.store.live_rows()}
-        for vm in fleet.vms:
-            assert server_ids(vm) == expected, (seed, vm.name, server_ids(vm), expected)
+        assert_rows_of_store(fleet, seed)
 
 
 @then(
@@ -152,9 +156,7 @@
     states_newest = which == "the newest"
     for seed in range(count):
         fleet = anyio.run(partial(run_stale_reads, states_newest=states_newest), seed, 40)
-        expected = {key.key for key in fleet.store.live_rows()}
-        for vm in fleet.vms:
-            assert server_ids(vm) == expected, (seed, vm.name, server_ids(vm), expected)
+        assert_rows_of_store(fleet, seed)
 
 
 @when(
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -31,6 +31,9 @@
 ORDERS = ROW_CODEC.orders_table
 NOW_MS = 1_000
 SILENCE_S = 5
+MAX_STALE_MS = 3_000
+SETTLE_MS = 15_000
+STEP_MS = 250
 
 
 class FixedClock:
@@ -220,6 +223,24 @@
         self.store.put(RowKey(SERVERS, server_id), None)
 
 
+async def take_random_step(fleet, rng, actions, read):
+    """Change the store, or let a VM read, follow or fetch; ``actions`` weighs the reads."""
+    vm, source = rng.sample(fleet.vms, 2)
+    action = rng.randrange(actions)
+    if action <= 1:
+        fleet.put_server(f"s{rng.randrange(6)}")
+    elif action == 2:
+        fleet.remove_server(f"s{rng.randrange(6)}")
+    elif action == 3:
+        await vm.fetch(source, SERVERS)
+    elif action == 4:
+        vm.follow(SERVERS)
+    elif rng.random() < 0.5:
+        await read(vm)
+    else:
+        await read(fleet.add_vm())
+
+
 async def run_random_changes(seed, steps):
     """Change a store and copy its rows in a random order; return the fleet once all have fetched.
 
@@ -230,20 +251,7 @@
     for vm in fleet.vms:
         await vm.read(SERVERS)
     for _ in range(steps):
-        vm, source = rng.sample(fleet.vms, 2)
-        action = rng.randrange(6)
-        if action <= 1:
-            fleet.put_server(f"s{rng.randrange(6)}")
-        elif action == 2:
-            fleet.remove_server(f"s{rng.randrange(6)}")
-        elif action == 3:
-            await vm.fetch(source, SERVERS)
-        elif action == 4:
-            vm.follow(SERVERS)
-        elif rng.random() < 0.5:
-            await vm.read(SERVERS)
-        else:
-            await fleet.add_vm().read(SERVERS)
+        await take_random_step(fleet, rng, 6, lambda vm: vm.read(SERVERS))
     fleet.store.put(RowKey(SERVERS, "last"), server_row("last", 0).value)
     rng.shuffle(fleet.vms)
     fleet.vms[0].follow(SERVERS)
@@ -252,11 +260,6 @@
     return fleet
 
 
-MAX_STALE_MS = 3_000
-SETTLE_MS = 15_000
-STEP_MS = 250
-
-
 async def run_stale_reads(seed, steps, *, states_newest):
     """Change a store whose reads can be stale, and copy its rows; return the fleet when settled.
 
@@ -280,20 +283,7 @@
         await read(vm)
     for _ in range(steps):
         fleet.clock.time_ms += rng.randrange(2 * STEP_MS)
-        vm, source = rng.sample(fleet.vms, 2)
-        action = rng.randrange(7)
-        if action <= 1:
-            fleet.put_server(f"s{rng.randrange(6)}")
-        elif action == 2:
-            fleet.remove_server(f"s{rng.randrange(6)}")
-        elif action == 3:
-            await vm.fetch(source, SERVERS)
-        elif action == 4:
-            vm.follow(SERVERS)
-        elif rng.random() < 0.5:
-            await read(vm)
-        else:
-            await read(fleet.add_vm())
+        await take_random_step(fleet, rng, 7, read)
         await repeat_reads()
     for _ in range(SETTLE_MS // STEP_MS):
         fleet.clock.time_ms += STEP_MS
