--- a/tests/steps/departure_steps.py
+++ b/tests/steps/departure_steps.py
@@ -5,6 +5,7 @@
 
 from berylbankd._internal.models.rows import StoreError
 from berylbankd._internal.steering.routing_state import REMOVAL_GRACE_MS
+from tests.support.position_fleet import PositionFleet
 from tests.support.replication import NOW_MS, SERVERS, ReplicatingFleet
 
 STEP_MS = 100
@@ -218,3 +219,19 @@
     for learned_ms, returned_ms in returned.values():
         assert learned_ms - context.back_ms <= ms, returned
         assert 0 <= returned_ms - context.back_ms <= error, returned
+
+
+@then(
+    "in {count:d} fleets of {vms:d} VMs in {domains:d} failure domains that {added:d} join, each"
+    " change reaches all VMs within {ms:d} ms"
+)
+def step_changes_while_joining(context, count, vms, domains, added, ms):
+    for seed in range(count):
+        fleet = PositionFleet(vms, domains, seed)
+        fleet.run(6)
+        fleet.add_vms(added)
+        for position in range(1, 6):
+            fleet.run(fleet.rng.uniform(0.0, 0.6))
+            fleet.change(position)
+            took_ms = fleet.ms_until_all_know(position, limit_s=10)
+            assert took_ms is not None and took_ms <= ms, (seed, position, took_ms)
--- a/tests/unit/feeds/departures.feature
+++ b/tests/unit/feeds/departures.feature
@@ -43,3 +43,12 @@
     Given four VMs that know backend servers "s0" and "s1", with links of 60 ms
     When the store is away for 6000 ms while they exchange digests every 250 ms, and then back
     Then each VM learns of the return within 600 ms of it, to within 300 ms
+
+  # Issue 43: six VMs were added while servers left, and the fleet changed from a mesh to collectors.
+  Scenario Outline: each of <vms> VMs hears of a change while <added> more join, and while it loses datagrams
+    Then in 20 fleets of <vms> VMs in <domains> failure domains that <added> join, each change reaches all VMs within <ms> ms
+
+    Examples:
+      | vms | added | domains | ms   |
+      | 12  | 6     | 6       | 2000 |
+      | 60  | 22    | 9       | 2500 |
