Soak: judge a request around the return of its key by when it reached a server

The key was granted again 3.6 s after the withdrawal. The log of the VM: the configuration without the key in force at 8.575 s, the one with it at 12.203 s; the request began at 12.202 s, lasted 30 ms and was answered 200 with the later configuration. Without the key it would have got 401.

The check compared the time of sending with that of the return, so a request that was on its way then counted as one of before. It now compares the time at which it reached a server; one that reached a server before the return still counts, however late it was answered. Scenarios on both sides of the return.

--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -60,6 +60,19 @@
     evidence.run_counts["r2"] = 1
 
 
+def add_request_around_revert(evidence, arrived_s):
+    add_run_with_withdrawn_key(evidence)
+    evidence.arrivals.append(Arrival("r2", "s0", arrived_s, HEADERS))
+
+
+def add_run_before_revert(evidence):
+    add_request_around_revert(evidence, 19.9)
+
+
+def add_run_after_revert(evidence):
+    add_request_around_revert(evidence, 20.1)
+
+
 def add_drained_server(evidence):
     evidence.drained_servers.append(AcknowledgedChange("s1", 7.0, 20.0))
 
@@ -145,6 +158,10 @@
     "a key received by a backend server": add_leaked_key,
     "a response with status 500": add_internal_error,
     "a request that ran 3 s after its key was withdrawn": add_run_with_withdrawn_key,
+    "a request that ran just before its key was granted again": add_run_before_revert,
+    "a request that was sent before its key was granted again, and ran after it": (
+        add_run_after_revert
+    ),
     "a request at a server 3 s after it began to drain": add_drained_server,
     "a request cut by a graceful stop": add_cut_request,
     "a request sent before a stop that cut it": add_request_cut_later,
--- a/tests/unit/soak/checks.feature
+++ b/tests/unit/soak/checks.feature
@@ -14,6 +14,7 @@
       | a key received by a backend server                 | received the key            |
       | a response with status 500                         | got 500                     |
       | a request that ran 3 s after its key was withdrawn | after its key was withdrawn |
+      | a request that ran just before its key was granted again | after its key was withdrawn |
       | a request at a server 3 s after it began to drain  | after draining              |
       | a request cut by a graceful stop                   | was cut by the stop         |
       | a request sent before a stop that cut it           | was cut by the stop         |
@@ -36,6 +37,12 @@
     And it also contains a request that ran 3 s after its key was withdrawn
     Then no violation is found
 
+  # Seed 806739: the VM had got the configuration with the key again by the time it decided.
+  Scenario: a request that was sent before its key was granted again may run after it
+    Given evidence of a soak without violations
+    When it also contains a request that was sent before its key was granted again, and ran after it
+    Then no violation is found
+
   Scenario Outline: the end of a request at work is excused <excuse>
     Given evidence of a soak without violations
     When it also contains <excuse>
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -152,12 +152,17 @@
 
 
 def check_withdrawn_keys(evidence: Evidence) -> Iterable[str]:
-    """Check that no request runs with a key withdrawn more than ``APPLY_LIMIT_S`` before."""
+    """Check that no request runs with a key withdrawn more than ``APPLY_LIMIT_S`` before.
+
+    A request that was sent before the key was granted again may run after it.
+    """
+    arrived_s = {arrival.request_id: arrival.at_s for arrival in reversed(evidence.arrivals)}
     for change in evidence.withdrawn_keys:
         for request in evidence.requests:
             if (
                 request.key != change.subject
-                or not change.acknowledged_s + APPLY_LIMIT_S < request.sent_s < change.reverted_s
+                or request.sent_s <= change.acknowledged_s + APPLY_LIMIT_S
+                or arrived_s.get(request.request_id, request.sent_s) >= change.reverted_s
             ):
                 continue
             if evidence.run_counts[request.request_id] and is_undisturbed(
