--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -63,7 +63,10 @@
 
 
 class Machine:
-    """One machine: its settings file and its process."""
+    """One machine: its settings file and its process.
+
+    ``store_address`` is the store's address for this machine, if it has one of its own.
+    """
 
     def __init__(self, deployment: "Deployment", number: int, name: str, zone: str) -> None:
         self.deployment = deployment
@@ -74,7 +77,7 @@
         self.settings = deployment.folder / f"{name}.toml"
         self.log = deployment.folder / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
-        self.touched = 0.0
+        self.store_address = ""
 
     @property
     def address(self) -> str:
@@ -119,7 +122,7 @@
                 "bandwidthMbps = 1000.0\ndiskMb = 0",
                 "[faultTolerance]\nmachines = 2\nzones = 1\nregions = 1",
                 "[platform]",
-                f'address = "{deployment.store_address}"',
+                f'address = "{self.store_address or deployment.store_address}"',
                 'form = "table"\nwritesPerS = 400\nreadsPerS = 2000\ntxS = 0.008',
                 "partWritesS = 150\nrowBytes = 65536\nacross = false\nhistoryS = 20",
                 "blobBytes = 8388608\nblobS = 0.025\nblobMbS = 80.0\n",
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -25,7 +25,11 @@
 
 
 class Store:
-    """The rows, and the addresses at which they are served."""
+    """The rows, and the addresses at which they are served.
+
+    Calls at an address in ``silent`` get no answer, also those that wait already. ``feed_calls``
+    has the time of the last long poll at each address.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], StoredRow] = {}
@@ -34,6 +38,8 @@
         self.servers: dict[str, asyncio.Server] = {}
         self.writers: dict[str, set[asyncio.StreamWriter]] = {}
         self.calls: dict[str, int] = {}
+        self.silent: set[str] = set()
+        self.feed_calls: dict[str, float] = {}
         self.written: list[tuple[float, str, str, str]] = []
 
     async def listen(self, host: str, port: int) -> str:
@@ -85,9 +91,13 @@
         while (message := await wire.read_message(reader)) is not None:
             self.calls[address] += 1
             method, target, _ = message.first_line.split(" ")
+            if "rows-feed" in target:
+                self.feed_calls[address] = time.monotonic()
             parts = urlsplit(target)
             query = {name: values[0] for name, values in parse_qs(parts.query).items()}
             status, document = await self._answer(method, parts.path, query, message.body)
+            while address in self.silent:
+                await asyncio.sleep(0.1)
             body = json.dumps(document).encode()
             first_line = f"HTTP/1.1 {status} Answer"
             writer.write(wire.encode(first_line, {"Content-Type": "application/json"}, body))
