Review: the scripts write record.txt by name, and end their processes on signals

run.sh makes 1 only of a broken rule: an error of the interpreter is 2, as is a signal, which also ends what the script started. Case 7 needs no late answers of instances any more: its service stands in one region, its clients in the others. Instances state their own start and the end of their warm-up.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -117,6 +117,8 @@
 
 def judge(record: Record, answers: list[Answer], acknowledged: float, calm: list[Machine]) -> bool:
     """Return whether the rule held: CONFIG, for the machines that nothing was done to."""
+    if sum(answer.status == 200 for answer in answers) < len(answers) / 2 or not answers:
+        raise CannotRunError("too few requests were answered to tell")
     late = 0
     for answer in sorted(answers, key=lambda item: item.sent):
         is_old = SERVICE in answer.signature
@@ -138,4 +140,4 @@
     return not late
 
 
-main(run, __file__)
+main(run, Path(__file__).resolve().with_name("record.txt"))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness.case import Record, main, wait_until_ready  # noqa: E402
+from harness.case import CannotRunError, Record, main, wait_until_ready  # noqa: E402
 from harness.deployment import ZONES, Deployment, Ports  # noqa: E402
 from harness.instance import Work  # noqa: E402
 from harness.release import (  # noqa: E402
@@ -24,6 +24,8 @@
 DURATION_S = 16.0
 CANARY_SHARE, CANARY_SLACK = 0.1, 50
 REQUESTS_PER_S = 60.0
+CLIENT_ZONES = ("mid-one", "mid-two", "south-one", "south-two")
+INSTANCE_ZONES = ("north-one", "north-two") * 3
 
 
 def work_well(first_line: str) -> Work:
@@ -42,7 +44,7 @@
     deployment = Deployment(folder, ports, list(ZONES))
     deployment.store_address = await store.listen(ports.host(100), ports.next())
     works = (work_well, work_slowly if trouble else work_well)
-    release = Release(store, ports, record, ("v1", "v2"), works)
+    release = Release(store, ports, record, ("v1", "v2"), works, zones=INSTANCE_ZONES)
     routes: list[list[object]] = [
         ["hold", "/hold/", "unsafe", HOLD_TIMEOUT_S, 0.4],
         ["read", "/read/", "safe", 1.5, 0.3],
@@ -56,8 +58,8 @@
         await deployment.start()
         await wait_until_ready(deployment)
         record.line("all machines are ready")
-        traffic.start("/hold/17", "POST", REQUESTS_PER_S, 2.0)
-        traffic.start("/read/17", "GET", REQUESTS_PER_S, 1.5)
+        traffic.start("/hold/17", "POST", REQUESTS_PER_S, 2.0, CLIENT_ZONES)
+        traffic.start("/read/17", "GET", REQUESTS_PER_S, 1.5, CLIENT_ZONES)
         await asyncio.sleep(8)
         await release.start_new()
         release.order(DURATION_S)
@@ -91,8 +93,10 @@
         for item in part:
             statuses[item.status] += 1
         record.line(f"answers to /hold/ requests {name}, by status: {statuses}")
+    if total < REQUESTS_PER_S * DURATION_S:
+        raise CannotRunError("too few requests reached the service to tell")
     record.line(f"status of the release at the end: {release.state or 'none'}")
     return not is_bad or counts[1] <= limit
 
 
-main(run, __file__)
+main(run, Path(__file__).resolve().with_name("record.txt"))
--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -13,7 +14,9 @@
 from harness.client import get
 from harness.deployment import Deployment
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# The interpreter itself ends with 1 after an error, so ``run.sh`` makes 1 of BROKEN.
+HELD, BROKEN, NOT_RUN = 0, 3, 2
+END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 LIMIT_S = 115.0
 
 
@@ -38,15 +41,15 @@
 Case = Callable[[Record, Path, bool], Awaitable[bool]]
 
 
-def run_case(case: Case, folder: Path) -> int:
-    """Run a case; it returns whether the rule held."""
+def run_case(case: Case, record_path: Path) -> int:
+    """Run a case, which returns whether the rule held, and write its record."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     record.line(f"the case runs {'with' if trouble else 'without'} the disruption")
     with tempfile.TemporaryDirectory(prefix="review-") as name:
         try:
             held = asyncio.run(_run_bounded(case, record, Path(name), trouble))
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.line("the case could not run: " + repr(error))
             record.line(traceback.format_exc())
             traceback.print_exc()
@@ -60,6 +63,10 @@
 
 
 async def _run_bounded(case: Case, record: Record, folder: Path, trouble: bool) -> bool:
+    task = asyncio.current_task()
+    assert task is not None
+    for number in END_SIGNALS:
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     async with asyncio.timeout(LIMIT_S):
         return await case(record, folder, trouble)
 
@@ -75,6 +82,6 @@
             await asyncio.sleep(0.2)
 
 
-def main(case: Case, path: str) -> None:
+def main(case: Case, record_path: Path) -> None:
     """Run a case as a program."""
-    sys.exit(run_case(case, Path(path).resolve().parent))
+    sys.exit(run_case(case, record_path))
--- a/review/harness/instance.py
+++ b/review/harness/instance.py
@@ -9,8 +9,6 @@
 from harness import wire
 
 QUEUE_PER_SLOT = 3
-# Timers fire slightly late: how long after a deadline work is found to be over it.
-TIMER_DELAY_S = 0.01
 
 
 class Work(NamedTuple):
@@ -61,6 +59,7 @@
         self.arrivals: list[tuple[float, str]] = []
         self.runs: list[Run] = []
         self.address = ""
+        self.born_ms = 0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
@@ -68,6 +67,7 @@
         """Listen on an address."""
         self.server = await asyncio.start_server(self._serve, host, port, limit=1_048_576)
         self.address = f"{host}:{port}"
+        self.born_ms = int(time.time() * 1000)
 
     def stop(self) -> None:
         """End at once, as a killed process does."""
@@ -80,7 +80,7 @@
         """Return this instance's entry in the store."""
         return {
             "address": self.address,
-            "born": 1_700_000_000_000,
+            "born": self.born_ms,
             "info": {
                 "service": self.service,
                 "version": self.version,
@@ -136,7 +136,7 @@
             work = self.work(message.first_line)
             left = deadline - time.monotonic()
             in_time = work.seconds <= left
-            seconds = work.seconds if in_time else max(0.0, left) + TIMER_DELAY_S
+            seconds = work.seconds if in_time else max(0.0, left)
             if not await _sleep_unless_closed(seconds, reader):
                 return False
             status = work.status if in_time else 504
--- a/review/harness/release.py
+++ b/review/harness/release.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from harness.case import Record
 from harness.client import Answer, resolve, send
@@ -70,9 +70,19 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.number = 0
 
-    def start(self, path: str, method: str, per_s: float, deadline_s: float) -> None:
-        """Start the clients of a route, which together send ``per_s`` requests a second."""
-        zones = sorted({machine.zone for machine in self.deployment.machines})
+    def start(
+        self,
+        path: str,
+        method: str,
+        per_s: float,
+        deadline_s: float,
+        zones: Sequence[str] = (),
+    ) -> None:
+        """Start the clients of a route, which together send ``per_s`` requests a second.
+
+        They are in some zones, or in those of all machines.
+        """
+        zones = zones or sorted({machine.zone for machine in self.deployment.machines})
         for zone in zones:
             self._start_task(self._send_from(zone, path, method, len(zones) / per_s, deadline_s))
 
@@ -165,9 +175,12 @@
         record: Record,
         versions: tuple[str, str],
         works: tuple[Callable[[str], Work], Callable[[str], Work]],
+        *,
+        zones: Sequence[str] = tuple(ZONES),
     ) -> None:
         self.store = store
         self.record = record
+        self.zones = zones
         self.old_version, self.new_version = versions
         self.port = ports.next()
         self.ports = ports
@@ -178,7 +191,10 @@
         self.state = ""
 
     def _make(self, version: str, work: Callable[[str], Work]) -> list[Instance]:
-        return [Instance(f"i-{version}-{zone}", SERVICE, version, zone, work) for zone in ZONES]
+        return [
+            Instance(f"i-{version}-{zone}-{number}", SERVICE, version, zone, work)
+            for number, zone in enumerate(self.zones)
+        ]
 
     async def start_old(self) -> None:
         """Start the old instances and register them."""
@@ -187,6 +203,7 @@
     async def start_new(self) -> None:
         """Start the new instances beside the old ones."""
         await self._start(self.new, WARMUP_S)
+        self.warmup = asyncio.get_running_loop().call_later(WARMUP_S, self._end_warmup)
         self.record.line(f"the instances of {self.new_version} are registered")
 
     def order(self, duration_s: float) -> None:
@@ -218,6 +235,12 @@
             await instance.start(self.ports.host(self.hosts), self.port)
             self.store.put("servers", instance.name, instance.entry(warmup_left_s))
 
+    def _end_warmup(self) -> None:
+        """Register that the new instances are warm, unless they leave already."""
+        for instance in self.new:
+            if not instance.leaving:
+                self.store.put("servers", instance.name, instance.entry())
+
     def _drain(self, instances: list[Instance]) -> None:
         for instance in instances:
             instance.leaving = True
