Bound what a caller may send, and parse one request at a time

What callers saw: a VM grew without bound and answered nobody while a few callers sent it heads, targets, header or trailer fields without end, or requests ahead whose answers they did not read.

Cause: uvicorn's protocol parses whatever has come. Each field and each request ahead becomes objects of many times its bytes, trailer fields join the head's, and nothing compares sizes with the configuration's maxHeaderBytes and maxBodyBytes, which were decoded and used nowhere.

Change: a connection gives its parser one head at a time, whole, once its size is known (RequestInput); the next request stays unread until the response before it is complete and its caller reads. Limits of the newest configuration apply on all ports and to open connections: 431, 413, and the connection closes. Trailer fields are dropped.

Such features run one at a time, after all others (tag alone).

Why it works: nothing is parsed before its size is known, so what a connection holds is at most a head, a part of a body and one response.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -12,22 +12,35 @@
 import struct
 import termios
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Any, NamedTuple, cast
 
+import httptools
 from loguru import logger
 from uvicorn.config import Config
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
 from berylbank._internal.utils.addresses import parse_address
+from berylbankd._internal.connections.budget import ConnectionBudget
+from berylbankd._internal.connections.request_input import HeadTooLargeError, RequestInput
+from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 LISTEN_BACKLOG_CONNECTIONS = 1_024
 # Callers' idle connections are kept open for at least this long. Callers reuse a connection only
 # for part of the idle time that the configuration gives them.
 KEEP_ALIVE_S = 61
+MAX_READ_BYTES = 65_536
+# Request bodies up to about this size are buffered, so that a retry can send them again. No backend
+# server gets a part of one before it is complete. The rest of a longer one is sent as it arrives.
+MAX_REPLAYABLE_BODY_BYTES = 262_144
 # How long a connection that is to be closed is kept for a caller that still sends.
 LINGER_TIMEOUT_S = 5.0
+# How often all connections that are to be closed read together what their callers still send.
+LINGER_READS_PER_S = 500
+MIN_LINGER_PAUSE_S = 0.01
 STOP_POLL_INTERVAL_S = 0.02
 # Names under which the state of an ASGI scope holds functions that tell whether the caller is still
 # connected, and how many bytes that were written to the connection wait in this process.
@@ -63,6 +76,7 @@
         self.protocol = protocol
         self.lingering = False
         self.timer: asyncio.TimerHandle | None = None
+        self.read_timer: asyncio.TimerHandle | None = None
         self.write = transport.write
         self.get_extra_info = transport.get_extra_info
         self.get_write_buffer_size = transport.get_write_buffer_size
@@ -81,19 +95,32 @@
             self.transport.close()
             return
         self.lingering = True
-        self.protocol.flow.resume_reading()
+        self.protocol.start_lingering()
         self.transport.write_eof()
         self._start_timer()
 
     def close_now(self) -> None:
         """Close the connection after what was written, whether or not the caller still sends."""
-        if self.timer is not None:
-            self.timer.cancel()
+        self._cancel_timers()
         self.transport.close()
 
+    def read_later(self, delay_s: float) -> None:
+        """Read nothing more until a time has passed."""
+        self.transport.pause_reading()
+        self.read_timer = asyncio.get_running_loop().call_later(delay_s, self._read_on)
+
+    def _read_on(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def _start_timer(self) -> None:
         self.timer = asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self._on_timeout)
 
+    def _cancel_timers(self) -> None:
+        for timer in (self.timer, self.read_timer):
+            if timer is not None:
+                timer.cancel()
+
     def _on_timeout(self) -> None:
         if self.protocol.find_undelivered() is None:
             self.close_now()
@@ -101,48 +128,274 @@
             self._start_timer()
 
 
+class RequestFlow(FlowControl):
+    """Flow control of a connection; the protocol decides when it reads."""
+
+    def __init__(self, protocol: "CallerProtocol") -> None:
+        super().__init__(cast(asyncio.Transport, protocol.lingering_transport))
+        self.protocol = protocol
+
+    def pause_reading(self) -> None:
+        """Stop reading if the protocol has enough."""
+        self.protocol.update_reading()
+
+    def resume_reading(self) -> None:
+        """Read on if the protocol has room."""
+        self.protocol.update_reading()
+
+    def resume_writing(self) -> None:
+        """Go on writing, and serve the next request if the caller has sent it already."""
+        super().resume_writing()
+        self.protocol.process_input()
+
+
 class CallerProtocol(HttpToolsProtocol):
-    """A connection of a caller, which requests can ask whether the caller has closed it."""
+    """A connection of a caller, which requests can ask whether the caller has closed it.
+
+    Requests are parsed and served one at a time: the next one waits as bytes until the caller has
+    read enough of the response before it. ``request_count`` counts the requests whose head was
+    complete, ``body_bytes`` the body of the last one as far as it has come.
+    """
 
     def __init__(self, http_server: "HttpServer") -> None:
         super().__init__(
             config=http_server.config, server_state=http_server.server_state, app_state={}
         )
         self.http_server = http_server
-        self.malformed = False
+        self.budget = http_server.budget
+        self.request_input: RequestInput = RequestInput()
+        self.refused = False
+        self.reading = True
+        self.input_ended = False
+        self.ignored_bytes = 0
+        self.head_due = False
+        self.in_body: bool = False
+        self.request_count = 0
+        self.body_bytes = 0
+        self.head_bytes = 0
+
+    # Callbacks of the transport
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start to serve a connection."""
         self.lingering_transport = LingeringTransport(transport, self)
         super().connection_made(cast(asyncio.Transport, self.lingering_transport))
+        self.flow = RequestFlow(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the requests of the connection."""
+        self.http_server.lingering.discard(self)
+        self.request_input.clear()
+        self.input_ended = True
         self.lingering_transport.close_now()
         super().connection_lost(exc)
 
+    def get_read_size(self) -> int:
+        """Return how many bytes may be read at once, at least 1."""
+        if self.in_body or self.lingering_transport.lingering:
+            return MAX_READ_BYTES
+        room = self.budget.limits.max_header_bytes + 1 - len(self.request_input.held)
+        return min(MAX_READ_BYTES, max(1, room))
+
     def data_received(self, data: bytes) -> None:
-        """Parse what the caller has sent, unless the connection is ending."""
-        if not self.lingering_transport.lingering:
-            super().data_received(data)
+        """Take what the caller has sent, and parse it as far as it can be served."""
+        self._unset_keepalive_if_required()
+        if self.lingering_transport.lingering:
+            self.lingering_transport.read_later(self.http_server.get_linger_pause_s())
+            return
+        if self.input_ended:
+            self.ignored_bytes += len(data)
+            self.update_reading()
+            return
+        self.request_input.add(data)
+        self.process_input()
 
-    def send_400_response(self, msg: str) -> None:
-        """Refuse a malformed request, and end the connection."""
-        self.malformed = True
-        super().send_400_response(msg)
+    # Requests
 
-    def must_linger(self) -> bool:
-        """Tell whether the caller may send more before it has read its response."""
-        body_expected = self.cycle is not None and self.cycle.more_body
-        return body_expected or self.malformed or bool(self.pipeline) or self.http_server.stopping
+    def process_input(self) -> None:
+        """Parse what has arrived, up to the end of the request that is served next."""
+        while self.request_input.held and not self.input_ended:
+            if self.transport.is_closing():
+                self.request_input.clear()
+                break
+            if self.in_body:
+                self._parse_body()
+            elif not self._may_start_request() or not self._parse_head():
+                break
+        self.update_reading()
+
+    def _may_start_request(self) -> bool:
+        return not self.is_serving() and not self.flow.write_paused
+
+    def _parse_head(self) -> bool:
+        """Parse the next head; return False if it is incomplete."""
+        try:
+            head = self.request_input.take_head(self.budget.limits.max_header_bytes)
+        except HeadTooLargeError:
+            # The part within the limit may show that this is no HTTP at all.
+            self.head_due = True
+            self._feed(self.request_input.held[: self.budget.limits.max_header_bytes])
+            if not self.refused:
+                self.refuse(RefusalKind.HEAD_TOO_LARGE)
+            return False
+        if head is None:
+            return False
+        self.head_bytes = len(head)
+        self.head_due = True
+        self._feed(head)
+        if self.head_due and not self.refused:
+            self.refuse(RefusalKind.MALFORMED)
+        return True
+
+    def _parse_body(self) -> None:
+        limits = self.budget.limits
+        try:
+            part = self.request_input.take_body(limits.max_header_bytes)
+        except HeadTooLargeError:
+            self.refuse(RefusalKind.HEAD_TOO_LARGE)
+            return
+        self._feed(part)
+        if self.body_bytes > limits.max_body_bytes:
+            self.refuse(RefusalKind.BODY_TOO_LARGE)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # What follows is not parsed.
+            self.end_input()
+        except httptools.HttpParserError:
+            self.refuse(RefusalKind.MALFORMED)
 
     def on_message_begin(self) -> None:
-        """Start a new request."""
+        """Start a new request.
+
+        :raises ValueError: when the parser finds a request inside another one.
+        """
+        if not self.head_due:
+            raise ValueError("a request begins inside another one")
         super().on_message_begin()
         state = self.scope["state"]
         state[IS_CONNECTED] = self.is_connected
         state[COUNT_UNSENT_BYTES] = self.transport.get_write_buffer_size
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header to the request; the fields of a trailer section are dropped."""
+        if self.head_due:
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Serve the request, unless its length alone is too much."""
+        self.head_due = False
+        self.request_count += 1
+        self.body_bytes = 0
+        fields = dict(self.headers)
+        length = None if b"transfer-encoding" in fields else int(fields.get(b"content-length", 0))
+        self.request_input.start_body(length)
+        self.in_body = True
+        if length is not None and length > self.budget.limits.max_body_bytes:
+            self.refuse(RefusalKind.BODY_TOO_LARGE)
+            return
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body to the request."""
+        self.request_input.overhead_bytes = 0
+        self.body_bytes += len(body)
+        if not self.refused:
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """End the request's body."""
+        self.in_body = False
+        if self.refused:
+            return
+        super().on_message_complete()
+        if not self.parser.should_keep_alive():
+            self.end_input()
+
+    def on_response_complete(self) -> None:
+        """Serve the next request, if the caller has sent it already."""
+        self.server_state.total_requests += 1
+        if self.transport.is_closing():
+            return
+        self.process_input()
+        if not self.is_serving():
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+
+    def end_input(self) -> None:
+        """Ignore what the caller sends from now on."""
+        self.input_ended = True
+        self.request_input.clear()
+
+    def refuse(self, kind: RefusalKind) -> None:
+        """Refuse the request that the caller is sending, and end the connection.
+
+        If its response has begun already, the connection is closed, so that nothing else is taken
+        for a part of it.
+        """
+        self.refused = True
+        self.end_input()
+        if self.transport.is_closing():
+            return
+        in_request = self.is_serving()
+        request_id = ""
+        if self.in_body or in_request:
+            request_id = dict(self.headers).get(REQUEST_ID_HEADER, b"").decode("latin-1")
+        self.budget.on_refusal(kind.value, request_id)
+        if in_request:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        if in_request and self.cycle.response_started:
+            self.lingering_transport.close_now()
+            return
+        ran = Ran.NO if self.body_bytes <= MAX_REPLAYABLE_BODY_BYTES else Ran.UNKNOWN
+        self.transport.write(make_refusal_response(Refusal(kind, ran), request_id))
+        self.transport.close()
+
+    # Reading
+
+    def update_reading(self) -> None:
+        """Read on if there is room for what the caller sends, else stop reading."""
+        if self.transport.is_closing():
+            return
+        if self.in_body:
+            reading = not self.is_serving() or len(self.cycle.body) <= HIGH_WATER_LIMIT
+        else:
+            # The close of a connection shows only while it is read.
+            unused_bytes = len(self.request_input.held) + self.ignored_bytes
+            reading = unused_bytes <= self.budget.limits.max_header_bytes
+        if reading != self.reading:
+            self.reading = reading
+            if reading:
+                self.transport.resume_reading()
+            else:
+                self.transport.pause_reading()
+
+    def start_lingering(self) -> None:
+        """Read on, without use for what is read, until the caller has its response."""
+        self.end_input()
+        self.http_server.lingering.add(self)
+        if not self.reading:
+            self.reading = True
+            self.transport.resume_reading()
+
+    def must_linger(self) -> bool:
+        """Tell whether the caller may send more before it has read its response."""
+        return (
+            self.in_body
+            or self.refused
+            or bool(self.request_input.held)
+            or not self.reading
+            or self.http_server.stopping
+        )
+
+    def is_serving(self) -> bool:
+        """Tell whether a request has no complete response yet."""
+        return self.cycle is not None and not self.cycle.response_complete
+
     def is_connected(self) -> bool:
         """Tell whether the caller is connected, also if the event loop has not read its close."""
         if self.transport.is_closing():
@@ -179,6 +432,45 @@
         return UndeliveredResponse(request_id, unsent_bytes, unacknowledged_bytes, complete)
 
 
+def make_refusal_response(refusal: Refusal, request_id: str) -> bytes:
+    """Return the whole response that refuses a request and ends its connection."""
+    body = refusal.make_body(request_id)
+    status = refusal.template.status
+    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}".encode()]
+    headers = [*refusal.make_headers(len(body)), (b"connection", b"close")]
+    if request_id:
+        headers.append((REQUEST_ID_HEADER, request_id.encode("latin-1")))
+    lines += [name + b": " + value for name, value in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class ConnectionReader(asyncio.BufferedProtocol):
+    """Passes the callbacks of a transport to a protocol, and lets it choose how much to read.
+
+    ``buffer`` may be shared by all connections of an event loop: it is emptied at once.
+    """
+
+    def __init__(self, protocol: CallerProtocol, buffer: memoryview) -> None:
+        self.protocol = protocol
+        self.buffer = buffer
+        self.connection_lost = protocol.connection_lost  # type: ignore[method-assign]
+        self.eof_received = protocol.eof_received  # type: ignore[method-assign]
+        self.pause_writing = protocol.pause_writing  # type: ignore[method-assign]
+        self.resume_writing = protocol.resume_writing  # type: ignore[method-assign]
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to serve a connection."""
+        self.protocol.connection_made(cast(asyncio.Transport, transport))
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes."""
+        return self.buffer[: self.protocol.get_read_size()]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass received bytes on."""
+        self.protocol.data_received(bytes(self.buffer[:nbytes]))
+
+
 def read_send_queue_size(file_descriptor: int) -> int:
     """Return how many bytes the kernel holds that the other end has not acknowledged.
 
@@ -226,8 +518,11 @@
 class HttpServer:
     """Serves an ASGI application on one address."""
 
-    def __init__(self, app: AsgiApp, address: str) -> None:
+    def __init__(self, app: AsgiApp, address: str, budget: ConnectionBudget | None = None) -> None:
         self.address = parse_address(address)
+        self.budget = budget or ConnectionBudget()
+        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
+        self.lingering: set[CallerProtocol] = set()
         self.config = Config(
             app,
             http=HttpToolsProtocol,
@@ -258,6 +553,10 @@
         """Set for how long at least connections opened from now on are kept open while idle."""
         self.config.timeout_keep_alive = max(KEEP_ALIVE_S, min_idle_ms // 1000 + 1)
 
+    def get_linger_pause_s(self) -> float:
+        """Return how long a connection that is to be closed waits before it reads on."""
+        return max(MIN_LINGER_PAUSE_S, len(self.lingering) / LINGER_READS_PER_S)
+
     def prepare_stop(self) -> None:
         """Close connections from now on only when their callers have closed them or have waited."""
         self.stopping = True
@@ -303,8 +602,8 @@
     def _list_connections(self) -> list[CallerProtocol]:
         return list(cast(set[CallerProtocol], self.server_state.connections))
 
-    def _make_protocol(self) -> CallerProtocol:
-        return CallerProtocol(self)
+    def _make_protocol(self) -> ConnectionReader:
+        return ConnectionReader(CallerProtocol(self), self.read_buffer)
 
 
 def accept_waiting(listener: socket.socket) -> list[socket.socket]:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
@@ -5,14 +5,15 @@
 
 import anyio
 
-from berylbankd._internal.http_server import COUNT_UNSENT_BYTES, IS_CONNECTED
+from berylbankd._internal.http_server import (
+    COUNT_UNSENT_BYTES,
+    IS_CONNECTED,
+    MAX_REPLAYABLE_BODY_BYTES,
+)
 from berylbankd._internal.ingress.codec import HeaderCodec, HeaderList, RequestMetadata
 from berylbankd._internal.models.types import Organisation, Route
 from berylbankd._internal.refusals import Refusal
 
-# Request bodies up to about this size are buffered, so that a retry can send them again. The rest
-# of a longer one is sent as it arrives, and not kept.
-MAX_REPLAYABLE_BODY_BYTES = 262_144
 # Longest wait for the next chunk of a request body.
 BODY_CHUNK_TIMEOUT_S = 5.0
 # The event loop reads the close of a connection in its next passes.
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/request_log.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/request_log.py
@@ -66,6 +66,13 @@
             level = "INFO" if is_served else "WARNING"
             self.log_writer.enqueue_line(time.time(), level, "request", record._asdict())
 
+    def record_connection_refusal(self, cause: str, request_id: str) -> None:
+        """Count a connection that was ended before its request was admitted, and log it."""
+        self.metrics.count_refusal("", cause)
+        if self.log_writer.take_request_line_token(priority=True):
+            fields = {"cause": cause, "request_id": request_id}
+            self.log_writer.enqueue_line(time.time(), "WARNING", "connection ended", fields)
+
     def record_silence(self, record: SilenceRecord) -> None:
         """Queue a line on a silent server if the rate limit of the log allows it."""
         if self.log_writer.take_request_line_token(priority=True):
--- a/packages/berylbankd/src/berylbankd/_internal/refusals.py
+++ b/packages/berylbankd/src/berylbankd/_internal/refusals.py
@@ -29,6 +29,7 @@
     VM_STOPPING = "vm_stopping"
     KEY_WITHDRAWN = "key_withdrawn"
     NO_BACKEND = "no_backend"
+    HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
     CALLER_TOO_SLOW = "caller_too_slow"
     DEADLINE = "deadline"
@@ -93,6 +94,11 @@
     RefusalKind.NO_BACKEND: RefusalTemplate(
         503, "no backend server could be reached", "retry after a pause"
     ),
+    RefusalKind.HEAD_TOO_LARGE: RefusalTemplate(
+        431,
+        "the request's headers, or what is not body behind them, are larger than allowed",
+        "send fewer and shorter headers",
+    ),
     RefusalKind.BODY_TOO_LARGE: RefusalTemplate(
         413, "the body is larger than this service takes", "send a smaller body"
     ),
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -13,6 +13,7 @@
 
 from berylbank._internal.exceptions import InvalidDocumentError
 from berylbank._internal.utils.clock import BootClock
+from berylbankd._internal.connections.budget import ConnectionBudget
 from berylbankd._internal.feeds.registry import VmRegistry
 from berylbankd._internal.feeds.release_driver import ReleaseDriver
 from berylbankd._internal.feeds.round_trips import RoundTripMeter
@@ -126,7 +127,11 @@
         self.caller_app = CallerApp(
             self.steering, PlatformHeaderCodec(), self.clock, request_log, rate_limiter
         )
-        self.caller_server = HttpServer(self.caller_app, deployment.caller_address)
+        self.connection_budget = ConnectionBudget()
+        self.connection_budget.on_refusal = request_log.record_connection_refusal
+        self.caller_server = HttpServer(
+            self.caller_app, deployment.caller_address, self.connection_budget
+        )
 
     def _start_tasks(self, group: TaskGroup) -> None:
         group.start_soon(self._watch_signals)
@@ -155,7 +160,7 @@
         }
         self.http_servers = [self.caller_server]
         self.http_servers += [
-            HttpServer(EndpointApp(handlers), address)
+            HttpServer(EndpointApp(handlers), address, self.connection_budget)
             for address, handlers in handlers_by_address.items()
         ]
         for server in self.http_servers:
@@ -253,6 +258,7 @@
         self.steering.sync_releases(self.clock.now_ms())
         configuration = self.steering.routing_state.configuration
         if configuration is not None:
+            self.connection_budget.limits = configuration.limits
             self.caller_server.set_min_keep_alive(configuration.limits.idle_timeout_ms)
         membership = self.steering.membership
         if self.row_replicator.is_reader or membership.full_mesh or membership.is_primary():
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,4 +1,4 @@
-"""Runs every behave scenario in parallel processes.
+"""Runs every behave scenario in parallel processes, and features with the tag "alone" after them.
 
 Scenarios named in KNOWN-RED.txt may fail; they are run and printed, but do not fail the run.
 """
@@ -17,6 +17,8 @@
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SHARD_TAG = re.compile(r"@(shard\d+)\b")
+# Features that measure what a process uses run one at a time, beside nothing else.
+ALONE_TAG = re.compile(r"^@alone\b", re.MULTILINE)
 WORKERS = max(1, min(6, (os.cpu_count() or 2) - 1))
 SHARD_TIMEOUT_S = 1_200
 
@@ -46,6 +48,11 @@
     return tagged + untagged
 
 
+def runs_alone(shard: Shard) -> bool:
+    """Tell whether a shard must not run beside others."""
+    return ALONE_TAG.search(shard.path.read_text()) is not None
+
+
 def run_shard(shard: Shard) -> list[Outcome]:
     """Run one shard in its own process; a failed run without a failed scenario counts as one."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
@@ -101,8 +108,12 @@
 def main() -> int:
     """Return 0 if scenarios ran and only those in KNOWN-RED.txt failed."""
     known_names = read_known_red()
+    shards = find_shards()
+    together = [shard for shard in shards if not runs_alone(shard)]
     with ThreadPoolExecutor(WORKERS) as pool:
-        outcomes = [o for found in pool.map(run_shard, find_shards()) for o in found]
+        outcomes = [o for found in pool.map(run_shard, together) for o in found]
+    for shard in filter(runs_alone, shards):
+        outcomes += run_shard(shard)
     failed = [outcome for outcome in outcomes if not outcome.passed]
     for outcome in failed:
         print(f"FAILED {outcome.name}\n{outcome.detail}")
--- a/tools/steering_fleet.py
+++ b/tools/steering_fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 import httpx
@@ -48,7 +48,8 @@
 readiness = "{ip}:{ready}"
 directory = "{ip}:{directory}"
 [limits]
-memoryMb = 300
+memoryMb = {memory_mb}
+maxFds = {max_descriptors}
 [platform]
 address = "{store}"
 """
@@ -95,6 +96,18 @@
     }
 
 
+class VmResources(NamedTuple):
+    """What a VM has, and what its callers may send: the operator's limits by their names.
+
+    ``route_timeout_s`` replaces the timeouts of all routes.
+    """
+
+    memory_mb: int = 300
+    max_descriptors: int = 4_100
+    caller_limits: tuple[tuple[str, float], ...] = (("idleTimeoutS", 15),)
+    route_timeout_s: float | None = None
+
+
 class Vm:
     """One VM: its name, IP address, failure domain and daemon process."""
 
@@ -119,8 +132,10 @@
         open_store_link: OpenStoreLink | None = None,
         environment: dict[str, str] | None = None,
         grace_s: float = GRACE_S,
+        resources: VmResources | None = None,
     ) -> None:
         self.group = group
+        self.resources = resources or VmResources()
         self.grace_s = grace_s
         self.environment = environment
         self.open_store_link = open_store_link
@@ -142,7 +157,7 @@
     async def start(self, vms: int, servers: int, behaviour: SteeredBehaviour) -> None:
         """Start the store, servers and VMs, and wait until every VM is ready."""
         self.group.start_soon(serve_app, self.store, self.store_address, self.stop)
-        self.store.put("op", "config", make_configuration())
+        self.put_configuration(1, self.resources.caller_limits)
         for number in range(servers):
             self.add_server(f"s{number}", list(REGIONS)[number % len(REGIONS)], behaviour)
         for number in range(vms):
@@ -153,6 +168,15 @@
         for vm in self.vms:
             await self.wait_ready(vm)
 
+    def put_configuration(self, version: int, caller_limits: tuple[tuple[str, float], ...]) -> None:
+        """Write a configuration with some limits for callers to the store."""
+        configuration = make_configuration(version)
+        if self.resources.route_timeout_s is not None:
+            timeout_index = configuration["routes"]["columns"].index("timeoutS")
+            for row in configuration["routes"]["rows"]:
+                row[timeout_index] = self.resources.route_timeout_s
+        self.store.put("op", "config", {**configuration, "limits": dict(caller_limits)})
+
     def add_server(
         self, server_id: str, failure_domain: str, behaviour: SteeredBehaviour, **registration: Any
     ) -> None:
@@ -210,6 +234,8 @@
                 ready=self.readiness_port,
                 directory=self.directory_port,
                 store=store,
+                memory_mb=self.resources.memory_mb,
+                max_descriptors=self.resources.max_descriptors,
             )
         )
         log = (self.folder / f"{vm.name}.log").open("ab")
@@ -272,11 +298,14 @@
     open_store_link: OpenStoreLink | None = None,
     environment: dict[str, str] | None = None,
     grace_s: float = GRACE_S,
+    resources: VmResources | None = None,
 ) -> AsyncIterator[SteeringFleet]:
     """Run a fleet for the duration of the context."""
     with tempfile.TemporaryDirectory() as folder:
         async with anyio.create_task_group() as group:
-            fleet = SteeringFleet(group, Path(folder), open_store_link, environment, grace_s)
+            fleet = SteeringFleet(
+                group, Path(folder), open_store_link, environment, grace_s, resources
+            )
             try:
                 await fleet.start(vms, servers, behaviour or SteeredBehaviour())
                 yield fleet
