Bound what all callers of a VM hold together, and how long they may take

What callers saw: 500 connections with half a head, no byte or half a body kept everybody else out of a VM of 400 descriptors for as long as they stayed; 400 half bodies took a VM of 128 MB to 152 MB; half heads, idle connections and unread answers were held on for a minute or for ever.

Cause: nothing summed what callers hold, headerTimeoutS was used nowhere, idle connections had 61 s whatever idleTimeoutS said, and a caller that reads nothing had no limit.

Change: one ConnectionBudget for all ports of a VM knows each connection's state, its bytes and since when its caller made no progress. Times come from the newest configuration, for open connections too. At the limit of descriptors the longest waiting connection closes, at that of memory those that hold most and wait; one with an admitted request never does. Connections that are to be closed read what still comes at a common rate.

Why it works: every byte and descriptor that a caller can hold is in one sum, and whatever waits for a caller can be closed without ending admitted work.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -23,16 +23,22 @@
 from uvicorn.server import ServerState
 
 from berylbank._internal.utils.addresses import parse_address
-from berylbankd._internal.connections.budget import ConnectionBudget
+from berylbankd._internal.connections.budget import (
+    CONNECTION_BYTES,
+    HEADER_FIELD_BYTES,
+    REQUEST_BYTES,
+    ConnectionBudget,
+    ConnectionState,
+    Progress,
+)
 from berylbankd._internal.connections.request_input import HeadTooLargeError, RequestInput
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 LISTEN_BACKLOG_CONNECTIONS = 1_024
-# Callers' idle connections are kept open for at least this long. Callers reuse a connection only
-# for part of the idle time that the configuration gives them.
-KEEP_ALIVE_S = 61
+# Most bytes that are read at once, and what the kernel may hold of a connection's input.
 MAX_READ_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 65_536
 # Request bodies up to about this size are buffered, so that a retry can send them again. No backend
 # server gets a part of one before it is complete. The rest of a longer one is sent as it arrives.
 MAX_REPLAYABLE_BODY_BYTES = 262_144
@@ -77,12 +83,21 @@
         self.lingering = False
         self.timer: asyncio.TimerHandle | None = None
         self.read_timer: asyncio.TimerHandle | None = None
-        self.write = transport.write
+        self.written_bytes = 0
         self.get_extra_info = transport.get_extra_info
         self.get_write_buffer_size = transport.get_write_buffer_size
         self.pause_reading = transport.pause_reading
         self.resume_reading = transport.resume_reading
 
+    def write(self, data: bytes) -> None:
+        """Write bytes."""
+        self.written_bytes += len(data)
+        self.transport.write(data)
+
+    def count_taken_bytes(self) -> int:
+        """Return how many of all written bytes the kernel has taken."""
+        return self.written_bytes - self.get_write_buffer_size()
+
     def is_closing(self) -> bool:
         """Tell whether nothing more is sent after what was written already."""
         return self.lingering or self.transport.is_closing()
@@ -104,6 +119,11 @@
         self._cancel_timers()
         self.transport.close()
 
+    def abort(self) -> None:
+        """Close the connection at once, and drop what has not left this process."""
+        self._cancel_timers()
+        self.transport.abort()
+
     def read_later(self, delay_s: float) -> None:
         """Read nothing more until a time has passed."""
         self.transport.pause_reading()
@@ -177,13 +197,16 @@
     # Callbacks of the transport
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        """Start to serve a connection."""
+        """Start to serve a connection, if there is room for it."""
         self.lingering_transport = LingeringTransport(transport, self)
         super().connection_made(cast(asyncio.Transport, self.lingering_transport))
         self.flow = RequestFlow(self)
+        if not self.budget.open(self):
+            self.lingering_transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the requests of the connection."""
+        self.budget.close(self)
         self.http_server.lingering.discard(self)
         self.request_input.clear()
         self.input_ended = True
@@ -199,7 +222,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Take what the caller has sent, and parse it as far as it can be served."""
-        self._unset_keepalive_if_required()
         if self.lingering_transport.lingering:
             self.lingering_transport.read_later(self.http_server.get_linger_pause_s())
             return
@@ -223,6 +245,7 @@
             elif not self._may_start_request() or not self._parse_head():
                 break
         self.update_reading()
+        self.budget.charge(self)
 
     def _may_start_request(self) -> bool:
         return not self.is_serving() and not self.flow.write_paused
@@ -285,7 +308,7 @@
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
-        """Serve the request, unless its length alone is too much."""
+        """Serve the request, unless its length alone is too much or there is no room for it."""
         self.head_due = False
         self.request_count += 1
         self.body_bytes = 0
@@ -296,6 +319,9 @@
         if length is not None and length > self.budget.limits.max_body_bytes:
             self.refuse(RefusalKind.BODY_TOO_LARGE)
             return
+        if not self.budget.admit(self):
+            self.refuse(RefusalKind.CALLERS_HOLD_TOO_MUCH)
+            return
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
@@ -317,13 +343,8 @@
     def on_response_complete(self) -> None:
         """Serve the next request, if the caller has sent it already."""
         self.server_state.total_requests += 1
-        if self.transport.is_closing():
-            return
-        self.process_input()
-        if not self.is_serving():
-            self.timeout_keep_alive_task = self.loop.call_later(
-                self.timeout_keep_alive, self.timeout_keep_alive_handler
-            )
+        if not self.transport.is_closing():
+            self.process_input()
 
     def end_input(self) -> None:
         """Ignore what the caller sends from now on."""
@@ -392,10 +413,65 @@
             or self.http_server.stopping
         )
 
+    # What the connection holds
+
+    def measure_progress(self) -> Progress:
+        """Return how far the caller has come."""
+        state = next(state for state, applies in STATE_CONDITIONS if applies(self))
+        if state in (ConnectionState.CLOSING, ConnectionState.READER):
+            return Progress(state, self.lingering_transport.count_taken_bytes())
+        if state is ConnectionState.REST:
+            return Progress(state, self.body_bytes)
+        return Progress(state, self.request_count)
+
     def is_serving(self) -> bool:
         """Tell whether a request has no complete response yet."""
         return self.cycle is not None and not self.cycle.response_complete
 
+    def may_refuse(self) -> bool:
+        """Tell whether no backend server can have got anything of the request being served."""
+        waits = self.is_serving() and self.in_body and not self.cycle.response_started
+        return waits and self.body_bytes <= MAX_REPLAYABLE_BODY_BYTES
+
+    def measure_held_bytes(self) -> int:
+        """Return the memory that the connection takes, in bytes."""
+        held_bytes = CONNECTION_BYTES + len(self.request_input.held)
+        held_bytes += self.transport.get_write_buffer_size()
+        if self.in_body or self.is_serving():
+            held_bytes += REQUEST_BYTES + self.head_bytes + HEADER_FIELD_BYTES * len(self.headers)
+            held_bytes += min(self.body_bytes, MAX_REPLAYABLE_BODY_BYTES + HIGH_WATER_LIMIT)
+        return held_bytes
+
+    def expire(self, state: ConnectionState) -> None:
+        """End the connection because its caller took too long."""
+        EXPIRE_ACTIONS[state](self)
+
+    def give_way(self, state: ConnectionState) -> bool:
+        """End the connection for others; return False if a request has just arrived on it."""
+        if state is ConnectionState.IDLE:
+            return self._close_idle()
+        GIVE_WAY_ACTIONS[state](self)
+        return True
+
+    def _close_idle(self) -> bool:
+        if has_input(self.transport.get_extra_info("socket").fileno()):
+            return False
+        self.lingering_transport.close_now()
+        return True
+
+    def _refuse_slow_head(self) -> None:
+        self.refuse(RefusalKind.HEAD_TOO_SLOW)
+
+    def _refuse_for_others(self) -> None:
+        self.refuse(RefusalKind.CALLERS_HOLD_TOO_MUCH)
+        self.lingering_transport.close_now()
+
+    def _close_now(self) -> None:
+        self.lingering_transport.close_now()
+
+    def _abort(self) -> None:
+        self.lingering_transport.abort()
+
     def is_connected(self) -> bool:
         """Tell whether the caller is connected, also if the event loop has not read its close."""
         if self.transport.is_closing():
@@ -432,6 +508,34 @@
         return UndeliveredResponse(request_id, unsent_bytes, unacknowledged_bytes, complete)
 
 
+# The state of a connection is the first whose condition holds.
+STATE_CONDITIONS: tuple[tuple[ConnectionState, Callable[[CallerProtocol], Any]], ...] = (
+    (ConnectionState.CLOSING, lambda connection: connection.transport.is_closing()),
+    (ConnectionState.BODY, CallerProtocol.may_refuse),
+    (ConnectionState.READER, lambda connection: connection.flow.write_paused),
+    (ConnectionState.SERVING, CallerProtocol.is_serving),
+    (ConnectionState.READER, lambda connection: connection.transport.get_write_buffer_size()),
+    (ConnectionState.REST, lambda connection: connection.in_body),
+    (ConnectionState.HEAD, lambda connection: connection.request_input.has_begun()),
+    (ConnectionState.IDLE, lambda _: True),
+)
+# What ends a connection whose caller took too long, and one that is closed for others.
+EXPIRE_ACTIONS: dict[ConnectionState, Callable[[CallerProtocol], Any]] = {
+    ConnectionState.IDLE: CallerProtocol._close_idle,
+    ConnectionState.HEAD: CallerProtocol._refuse_slow_head,
+    ConnectionState.REST: CallerProtocol._close_now,
+    ConnectionState.READER: CallerProtocol._abort,
+    ConnectionState.CLOSING: CallerProtocol._abort,
+}
+GIVE_WAY_ACTIONS: dict[ConnectionState, Callable[[CallerProtocol], Any]] = {
+    ConnectionState.HEAD: CallerProtocol._close_now,
+    ConnectionState.BODY: CallerProtocol._refuse_for_others,
+    ConnectionState.REST: CallerProtocol._close_now,
+    ConnectionState.READER: CallerProtocol._abort,
+    ConnectionState.CLOSING: CallerProtocol._abort,
+}
+
+
 def make_refusal_response(refusal: Refusal, request_id: str) -> bytes:
     """Return the whole response that refuses a request and ends its connection."""
     body = refusal.make_body(request_id)
@@ -533,7 +637,6 @@
             server_header=False,
             date_header=False,
             proxy_headers=False,
-            timeout_keep_alive=KEEP_ALIVE_S,
         )
         self.config.load()
         self.server_state = ServerState()
@@ -545,14 +648,12 @@
         """Start listening."""
         address = (self.address.host, self.address.port)
         self.listener = socket.create_server(address, backlog=LISTEN_BACKLOG_CONNECTIONS)
+        # Connections inherit it.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.server = await asyncio.get_running_loop().create_server(
             self._make_protocol, sock=self.listener, backlog=LISTEN_BACKLOG_CONNECTIONS
         )
 
-    def set_min_keep_alive(self, min_idle_ms: int) -> None:
-        """Set for how long at least connections opened from now on are kept open while idle."""
-        self.config.timeout_keep_alive = max(KEEP_ALIVE_S, min_idle_ms // 1000 + 1)
-
     def get_linger_pause_s(self) -> float:
         """Return how long a connection that is to be closed waits before it reads on."""
         return max(MIN_LINGER_PAUSE_S, len(self.lingering) / LINGER_READS_PER_S)
--- a/packages/berylbankd/src/berylbankd/_internal/models/deployment.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/deployment.py
@@ -42,6 +42,7 @@
 
     The addresses are IP:port. ``host`` is this VM's own IP address. ``regions`` maps every failure
     domain to its region. ``peer_port`` serves other VMs, over UDP for digests and TCP for rows.
+    ``memory_mb`` and ``max_descriptors`` limit this process, 0 if unknown.
     ``heartbeat_ms`` is how often backend servers renew their registrations.
     ``seed_hosts`` are IP addresses of VMs that may be running. ``first_start`` tells that the whole
     fleet starts for the first time.
@@ -65,6 +66,7 @@
     bounds: Bounds
     first_start: bool = False
     heartbeat_ms: int = 1_500
+    max_descriptors: int = 0
 
     @property
     def capacity(self) -> float:
--- a/packages/berylbankd/src/berylbankd/_internal/platform/settings.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/settings.py
@@ -57,6 +57,7 @@
         seed_hosts=tuple(parse_address(seed).host for seed in raw.get("seeds", ())),
         store_address=raw["platform"]["address"],
         memory_mb=int(limits.get("memoryMb", 0)),
+        max_descriptors=int(limits.get("maxFds", 0)),
         cores=float(limits.get("cpuShare", 1)) * float(limits.get("cpus", 1)),
         link_mbps=float(limits.get("bandwidthMbps", 1000)),
         bounds=decode_bounds(raw.get("bounds", [])),
--- a/packages/berylbankd/src/berylbankd/_internal/refusals.py
+++ b/packages/berylbankd/src/berylbankd/_internal/refusals.py
@@ -30,8 +30,10 @@
     KEY_WITHDRAWN = "key_withdrawn"
     NO_BACKEND = "no_backend"
     HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TOO_SLOW = "head_too_slow"
     BODY_TOO_LARGE = "body_too_large"
     CALLER_TOO_SLOW = "caller_too_slow"
+    CALLERS_HOLD_TOO_MUCH = "callers_hold_too_much"
     DEADLINE = "deadline"
     BACKEND_FAILED = "backend_failed"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
@@ -99,6 +101,12 @@
         "the request's headers, or what is not body behind them, are larger than allowed",
         "send fewer and shorter headers",
     ),
+    RefusalKind.HEAD_TOO_SLOW: RefusalTemplate(
+        408, "the request's headers did not arrive in time", "send them at once"
+    ),
+    RefusalKind.CALLERS_HOLD_TOO_MUCH: RefusalTemplate(
+        503, "the callers of this VM hold all the memory for them", "retry at another VM"
+    ),
     RefusalKind.BODY_TOO_LARGE: RefusalTemplate(
         413, "the body is larger than this service takes", "send a smaller body"
     ),
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -127,7 +127,7 @@
         self.caller_app = CallerApp(
             self.steering, PlatformHeaderCodec(), self.clock, request_log, rate_limiter
         )
-        self.connection_budget = ConnectionBudget()
+        self.connection_budget = ConnectionBudget(deployment.memory_mb, deployment.max_descriptors)
         self.connection_budget.on_refusal = request_log.record_connection_refusal
         self.caller_server = HttpServer(
             self.caller_app, deployment.caller_address, self.connection_budget
@@ -138,6 +138,7 @@
         tasks: dict[str, Callable[[], Awaitable[None]]] = {
             "logs": self.logs.run,
             "requests": self.caller_app.run,
+            "caller connections": self.connection_budget.run,
             "settings": self._watch_settings,
             "datagrams": self.peer_transport.run,
             "digests": self._send_digests,
@@ -259,7 +260,6 @@
         configuration = self.steering.routing_state.configuration
         if configuration is not None:
             self.connection_budget.limits = configuration.limits
-            self.caller_server.set_min_keep_alive(configuration.limits.idle_timeout_ms)
         membership = self.steering.membership
         if self.row_replicator.is_reader or membership.full_mesh or membership.is_primary():
             # The VMs that get their rows from this one must learn of them at once.
--- a/tests/functional/hostile_callers.feature
+++ b/tests/functional/hostile_callers.feature
@@ -53,3 +53,52 @@
     When 4 callers send many bare request lines ahead to the callers port and read all
     Then an ordinary request is answered while they stay connected
     And the VM lives, within its memory and descriptors
+
+  Scenario Outline: a single request with <what> that fills the limits is served
+    When a caller sends a request with <what> that fills the limits
+    Then it is answered as an ordinary one
+
+    Examples:
+      | what                          |
+      | a head of short lines         |
+      | a head with one long value    |
+      | a body by length              |
+      | a body in chunks of one byte  |
+      | a body in chunks and trailers |
+
+  Scenario: limits of a new configuration hold on connections that are open
+    Given a caller has had a request with a head of short lines answered on its connection
+    When a configuration allows heads of half that size, and the caller sends the same again
+    Then it is refused with status 431
+
+  Scenario Outline: more callers with <what> than the VM has descriptors keep nobody out
+    When 500 callers hold connections to the <port> port with <what>
+    Then an ordinary request is answered while they stay connected
+    And an ordinary look-up is answered while they stay connected
+    And the VM lives, within its memory and descriptors
+
+    Examples:
+      | what          | port    |
+      | half a head   | callers |
+      | no byte       | callers |
+      | half a body   | callers |
+      | half a head   | look-up |
+      | no byte       | look-up |
+
+  Scenario: half bodies of many callers stay within the memory of the VM
+    Given a VM with 128 MB of memory and 4100 descriptors, whose callers have low limits
+    When 400 callers hold connections to the callers port with most of a body
+    Then an ordinary request is answered while they stay connected
+    And the VM lives, within its memory and descriptors
+
+  Scenario Outline: a connection with <what> is closed once the limit of the operators has passed
+    When 4 callers hold connections to the callers port with <what>
+    Then the VM closes the connection of each of them
+    And an ordinary request is answered
+
+    Examples:
+      | what                     |
+      | half a head              |
+      | no byte                  |
+      | one request answered     |
+      | a long answer not read   |
--- a/tests/steps/hostile_caller_steps.py
+++ b/tests/steps/hostile_caller_steps.py
@@ -1,5 +1,6 @@
 """Steps on callers that send or hold too much, against a VM of their own."""
 
+import re
 import resource
 import time
 from contextlib import ExitStack
@@ -77,6 +78,46 @@
 }
 
 
+# Requests that fill the limits, as a head's lines and a body.
+KEYED = [b"Host: a.example", b"X-Request-Id: full", b"X-Key: " + API_KEY.encode()]
+GET_LINES = [b"GET /reads/x HTTP/1.1", *KEYED]
+POST_LINES = [b"POST /reads/x HTTP/1.1", *KEYED]
+CHUNKED_LINES = [*POST_LINES, b"Transfer-Encoding: chunked"]
+ONE_BYTE_CHUNKS = 20_000
+
+
+def join_head(lines):
+    return b"\r\n".join([*lines, b"", b""])
+
+
+def fill_head(line):
+    """Return the lines of a head of the largest allowed size, made of one line or many."""
+    missing = MAX_HEADER_BYTES - len(join_head(GET_LINES))
+    if not line:
+        return [*GET_LINES, b"a: " + b"v" * (missing - len(b"a: \r\n"))]
+    count = missing // len(line + b"\r\n") - 1
+    rest = missing - count * len(line + b"\r\n") - len(b"a: \r\n")
+    return [*GET_LINES, *[line] * count, b"a: " + b"v" * rest]
+
+
+FULL_REQUESTS = {
+    "a head of short lines": join_head(fill_head(b"a: b")),
+    "a head with one long value": join_head(fill_head(b"")),
+    "a body by length": join_head([*POST_LINES, b"Content-Length: %d" % MAX_BODY_BYTES])
+    + b"x" * MAX_BODY_BYTES,
+    "a body in chunks of one byte": join_head(CHUNKED_LINES)
+    + b"1\r\nx\r\n" * ONE_BYTE_CHUNKS
+    + b"0\r\n\r\n",
+    "a body in chunks and trailers": join_head(CHUNKED_LINES)
+    + b"%x\r\n" % MAX_BODY_BYTES
+    + b"x" * MAX_BODY_BYTES
+    + b"\r\n0\r\n"
+    + b"X-Request-Id: other\r\n"
+    + b"a: b\r\n" * (MAX_HEADER_BYTES // 8)
+    + b"\r\n",
+}
+
+
 def open_vm(context, resources, behaviour=None, environment=None):
     """Start a VM with two backend servers, for the rest of the scenario."""
     close_vm(context)
@@ -183,6 +224,57 @@
     assert addresses == [f"{vm.ip}:{fleet.http_port}"], addresses
 
 
+@when("a caller sends a request with {what} that fills the limits")
+@given("a caller has had a request with {what} answered on its connection")
+def step_send_full(context, what):
+    start_crowd(context, 1, "callers", Sending(FULL_REQUESTS[what]))
+    context.full = what
+    context.answer = read_answer(context)
+    assert context.answer.startswith(b"HTTP/1.1 200 "), context.answer
+
+
+def read_answer(context):
+    """Return the next answer of the crowd's only caller, which is a short one."""
+    caller = context.crowd.callers[0]
+    deadline_s = time.monotonic() + GIVE_UP_S
+    caller.received = b""
+    while not caller.ended and not is_whole(caller.received):
+        assert time.monotonic() < deadline_s, "no answer"
+        if not caller.read():
+            time.sleep(0.01)
+    return caller.received
+
+
+def is_whole(answer):
+    head, separator, body = answer.partition(b"\r\n\r\n")
+    length = re.search(rb"content-length: (\d+)", head.lower())
+    return bool(separator) and (length is None or len(body) >= int(length.group(1)))
+
+
+@then("it is answered as an ordinary one")
+def step_full_answered(context):
+    head = context.answer.split(b"\r\n\r\n")[0].lower()
+    assert b"x-server-signature" in head and b"x-request-id: full" in head, head
+
+
+@when("a configuration allows heads of half that size, and the caller sends the same again")
+def step_halve(context):
+    limits = {**dict(CALLER_LIMITS), "maxHeaderBytes": MAX_HEADER_BYTES // 2}
+    context.hostile_fleet.put_configuration(2, tuple(limits.items()))
+    deadline_s = time.monotonic() + GIVE_UP_S
+    caller = context.crowd.callers[0]
+    context.answer = b"HTTP/1.1 200 "
+    while context.answer.startswith(b"HTTP/1.1 200 ") and time.monotonic() < deadline_s:
+        caller.unsent = memoryview(FULL_REQUESTS[context.full])
+        caller.send()
+        context.answer = read_answer(context)
+
+
+@then("it is refused with status {status}")
+def step_refused_with(context, status):
+    assert context.answer.startswith(f"HTTP/1.1 {status} ".encode()), context.answer
+
+
 @then("the VM has refused each of them")
 def step_refused(context):
     context.crowd.read_to_end(GIVE_UP_S)
