End the wait for a body at the request's deadline

What callers saw: a connection whose body came a byte at a time was held for as long as bytes came, past the caller's deadline and the route's timeout; its buffer and descriptor with it.

Cause: the wait for a body was bounded only from one part to the next.

Change: the body must have come by the deadline that the request has anyway; else 408, which is true: no backend server has got anything before the body is complete.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -165,11 +165,22 @@
         admitted = await self._admit(exchange)
         if isinstance(admitted, Refusal):
             return admitted
+        return await self._receive_body(exchange, admitted.route) or admitted
+
+    async def _receive_body(self, exchange: CallerExchange, route: Route) -> Refusal | None:
+        """Buffer a request's body until its deadline; return a refusal if it has not come by then.
+
+        :raises CallerDisconnectedError: when the caller closes its connection.
+        """
+        if exchange.body_complete:
+            return None
+        remaining_ms = get_deadline_ms(exchange, route) - self.clock.now_ms()
         try:
-            await exchange.buffer_body()
+            with anyio.fail_after(max(0, remaining_ms) / 1000):
+                await exchange.buffer_body()
         except TimeoutError:
             return Refusal(RefusalKind.CALLER_TOO_SLOW)
-        return admitted
+        return None
 
     async def _answer_after_fault(
         self, exchange: CallerExchange, attempts: RequestAttempts, error: Exception
@@ -234,7 +245,7 @@
         service = self.steering.choose_service(route)
         self.steering.record_arrival(service)
         caller_wait_ms = get_caller_deadline_ms(exchange)
-        deadline_ms = exchange.arrived_ms + min(caller_wait_ms - ANSWER_MARGIN_MS, route.timeout_ms)
+        deadline_ms = get_deadline_ms(exchange, route)
         server_wait_ms = min(caller_wait_ms - SERVER_MARGIN_MS, route.timeout_ms)
         if not self._can_finish(service, deadline_ms):
             await self._send_result(exchange, attempts, make_stop_refusal())
@@ -390,6 +401,12 @@
     return exchange.metadata.deadline_ms or DEFAULT_CALLER_DEADLINE_MS
 
 
+def get_deadline_ms(exchange: CallerExchange, route: Route) -> int:
+    """Return when the caller's deadline or the route's timeout ends a request."""
+    caller_wait_ms = get_caller_deadline_ms(exchange) - ANSWER_MARGIN_MS
+    return exchange.arrived_ms + min(caller_wait_ms, route.timeout_ms)
+
+
 def intersect_regions(route: Route, organisation: Organisation | None) -> frozenset[str] | None:
     """Return the regions that both the route and the organisation allow.
 
--- a/tests/functional/hostile_callers.feature
+++ b/tests/functional/hostile_callers.feature
@@ -102,3 +102,4 @@
       | no byte                  |
       | one request answered     |
       | a long answer not read   |
+      | a body of a byte a while |
