Serve a request that offers another protocol with its body

Cause: the parser takes an offer of another protocol for the end of the request and reports it as complete, and nothing compared what arrived with what the head announces.

Change: the offer is ignored, as RFC 9110, 7.8 allows: the head is parsed again without its Upgrade field. A tunnel (CONNECT) is refused with 400. A body that the parser ends before its announced length is refused as well.

Why it works: the parser never sees the offer, so it reads the body as of any other request.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -53,6 +53,8 @@
 IS_CONNECTED = "is_connected"
 COUNT_UNSENT_BYTES = "count_unsent_bytes"
 REQUEST_ID_HEADER = b"x-request-id"
+UPGRADE_HEADER = b"upgrade"
+CONNECT_METHOD = b"CONNECT"
 QUEUE_SIZE_FORMAT = "i"
 
 
@@ -189,6 +191,7 @@
         self.input_ended = False
         self.ignored_bytes = 0
         self.head_due = False
+        self.offers_upgrade = False
         self.in_body: bool = False
         self.request_count = 0
         self.body_bytes = 0
@@ -266,6 +269,8 @@
         self.head_bytes = len(head)
         self.head_due = True
         self._feed(head)
+        if self.offers_upgrade:
+            self._parse_without_offer()
         if self.head_due and not self.refused:
             self.refuse(RefusalKind.MALFORMED)
         return True
@@ -281,12 +286,27 @@
         if self.body_bytes > limits.max_body_bytes:
             self.refuse(RefusalKind.BODY_TOO_LARGE)
 
+    def _parse_without_offer(self) -> None:
+        """Parse the head again without its offer of another protocol, which is not taken.
+
+        The parser takes such an offer for the end of the request, and does not parse its body. A
+        tunnel (CONNECT) is refused.
+        """
+        self.offers_upgrade = False
+        method = self.parser.get_method()
+        if method == CONNECT_METHOD:
+            return
+        version = self.parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (method, self.url, version)]
+        lines += [b"%b: %b" % field for field in self.headers if field[0] != UPGRADE_HEADER]
+        self.parser = httptools.HttpRequestParser(self)
+        self._feed(b"\r\n".join([*lines, b"", b""]))
+
     def _feed(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            # What follows is not parsed.
-            self.end_input()
+            self.offers_upgrade = True
         except httptools.HttpParserError:
             self.refuse(RefusalKind.MALFORMED)
 
@@ -309,6 +329,8 @@
 
     def on_headers_complete(self) -> None:
         """Serve the request, unless its length alone is too much or there is no room for it."""
+        if self.parser.should_upgrade():
+            return
         self.head_due = False
         self.request_count += 1
         self.body_bytes = 0
@@ -332,7 +354,14 @@
             super().on_body(body)
 
     def on_message_complete(self) -> None:
-        """End the request's body."""
+        """End the request's body.
+
+        :raises ValueError: when it is shorter than its head says.
+        """
+        if self.head_due:
+            return
+        if self.request_input.body_left:
+            raise ValueError("the body is shorter than its head says")
         self.in_body = False
         if self.refused:
             return
--- /dev/null
+++ b/tests/unit/connections/requests.feature
@@ -0,0 +1,24 @@
+Feature: Requests of a connection arrive as they were sent, one after the other
+
+  Scenario Outline: a request that offers <offer>, with a body <framing>, keeps its body
+    When a caller sends a request that offers <offer>, with a body <framing>, and another one after it
+    Then both arrived with their bodies, and both were answered in order
+
+    Examples:
+      | offer     | framing                       |
+      | h2c       | with a length                 |
+      | h2c       | in chunks                     |
+      | h2c       | with a length, a moment later |
+      | websocket | with a length                 |
+      | websocket | in chunks                     |
+
+  Scenario: a request to open a tunnel is refused
+    When a caller sends "CONNECT a.example:443 HTTP/1.1"
+    Then it is refused with status 400, and nothing arrived
+
+  Scenario: requests that are cut at any place arrive unchanged and in order
+    Then any requests, sent in any parts, arrive unchanged and are answered in order
+
+  Scenario: a field of a trailer section does not replace a header
+    When a caller sends a chunked request whose trailer section has the name of a header
+    Then the header arrived as it was in the head
