Take a response with an invalid status for a broken one

What callers saw: a response with the status 000 to 099, or 100 to 199 with a length, held its request to the deadline (504) while the server kept the connection open; one with 600 to 999 ended the caller's connection without an answer.

Cause: every status below 200 counted as informational, every other one as final; the server for callers has no status line from 600 on.

Change: final are 200 to 599, informational 100 to 199 without 101 and without a body; any other status breaks the connection, so that a look-up is sent on and a booking ends with 502 at once.

Why it works: the status is judged where the head is parsed, before anything waits for more. An unknown informational status without a body is still ignored (RFC 9110, 15.2): the response may follow.

--- a/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
+++ b/packages/berylbankd/src/berylbankd/_internal/backends/connection.py
@@ -15,7 +15,11 @@
 RECEIVE_BUFFER_BYTES = 131_072
 CONNECT_TIMEOUT_S = 1.0
 DEADLINE_REASON = "deadline"
-MIN_FINAL_STATUS = 200
+INVALID_STATUS_REASON = "invalid status"
+FINAL_STATUSES = range(200, 600)
+INFORMATIONAL_STATUSES = range(100, 200)
+# No request offers another protocol.
+SWITCHING_PROTOCOLS_STATUS = 101
 # Longest head of a response, with any informational responses before it, and most bytes between two
 # parts of a body or after the last one: chunk extensions and trailer fields. A faulty server may
 # send any of them without end.
@@ -70,6 +74,7 @@
         self.expects_no_body = False
         self.keep_alive = False
         self.overhead_bytes = 0
+        self.invalid_status = False
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; empty bytes mean that the server has closed the connection.
@@ -81,7 +86,8 @@
             try:
                 self.http_parser.feed_data(data)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-                raise BackendConnectionError("truncated") from error
+                reason = INVALID_STATUS_REASON if self.invalid_status else "truncated"
+                raise BackendConnectionError(reason) from error
             if self.overhead_bytes > MAX_HEAD_BYTES:
                 raise BackendConnectionError("head or trailer too long")
             return
@@ -107,11 +113,20 @@
         response.has_framing |= name in (b"content-length", b"transfer-encoding")
 
     def on_headers_complete(self) -> None:
-        """Store the head of the current response, unless its status is informational (1xx)."""
+        """Store the head of the current response, unless its status is informational (1xx).
+
+        :raises ValueError: when the status is neither a final nor an informational one, or an
+            informational response has a body.
+        """
         response, status = self.responses[-1], self.http_parser.get_status_code()
-        if status >= MIN_FINAL_STATUS:
+        if status in FINAL_STATUSES:
             response.head = ResponseHead(status, tuple(response.headers))
             response.complete = self.expects_no_body
+            return
+        informational = status in INFORMATIONAL_STATUSES and status != SWITCHING_PROTOCOLS_STATUS
+        if not informational or response.has_framing:
+            self.invalid_status = True
+            raise ValueError(f"invalid status {status}")
 
     def on_body(self, body: bytes) -> None:
         """Add a chunk to the current body."""
--- a/tests/steps/faulty_server_steps.py
+++ b/tests/steps/faulty_server_steps.py
@@ -360,6 +360,47 @@
     context.server = ScriptedServer(SCRIPTS[what])
 
 
+def answer_with_status(status):
+    async def script(server, stream, _number, request_id):
+        head = f"HTTP/1.1 {status} X\r\nx-request-id: {request_id}\r\nx-server-signature: s\r\n"
+        await server.send(stream, head + "content-length: 0\r\n\r\n")
+
+    return script
+
+
+@given("a server that answers with the status {status} and keeps its connection open")
+def step_status(context, status):
+    context.server = ScriptedServer(answer_with_status(status))
+
+
+@given(
+    "a server that answers with the status {status} and keeps its connection open, and a sound one"
+)
+def step_status_and_sound(context, status):
+    context.closed = []
+    answer_badly = answer_with_status(status)
+
+    async def script(server, stream, number, request_id):
+        await answer_badly(server, stream, number, request_id)
+        try:
+            await stream.receive()
+        finally:
+            context.closed.append(request_id)
+
+    context.server = ScriptedServer(script)
+    context.sound_server = ScriptedServer(answer)
+
+
+@given("a server that sends informational responses before it answers")
+def step_informational_first(context):
+    async def script(server, stream, _number, request_id):
+        for status in (100, 102, 103, 150):
+            await server.send(stream, f"HTTP/1.1 {status} X\r\nx-fill: 1\r\n\r\n")
+        await server.send(stream, make_answer(request_id))
+
+    context.server = ScriptedServer(script)
+
+
 SMALL_READ_BYTES = 700
 SOUND_BODY = "o" * 30_000
 SOUND_RESPONSES = {
--- a/tests/unit/ingress/faulty_servers.feature
+++ b/tests/unit/ingress/faulty_servers.feature
@@ -38,6 +38,42 @@
       | a chunk size               | 502    |
       | late responses             | 502    |
 
+  # A response with the status 000 held its request until the deadline; one with 600 ended the caller's
+  # connection without an answer.
+  Scenario Outline: a response with the status <status> is no answer, and its booking ends at once
+    Given a server that answers with the status <status> and keeps its connection open
+    When a booking is sent on a new connection
+    Then the caller gets 502 before its deadline
+
+    Examples:
+      | status |
+      | 000    |
+      | 001    |
+      | 099    |
+      | 100    |
+      | 101    |
+      | 150    |
+      | 199    |
+      | 600    |
+      | 799    |
+      | 999    |
+
+  Scenario Outline: a look-up whose first server answers with the status <status> is served by the next one
+    Given a server that answers with the status <status> and keeps its connection open, and a sound one
+    When a look-up is sent to the faulty one first
+    Then the caller gets the response of the sound one, and the faulty one's connection is closed
+
+    Examples:
+      | status |
+      | 000    |
+      | 150    |
+      | 600    |
+
+  Scenario: informational responses before a response are not taken for it
+    Given a server that sends informational responses before it answers
+    When a booking is sent on a new connection
+    Then the caller gets 200 and is not told that the booking did not run
+
   Scenario Outline: a success whose <what> follow in small reads is passed on whole
     Given a server that sends a success with <what> in small reads
     When a booking is sent on a new connection
