Find the object of a request in its cookies in linear time

What callers saw: one request without a key whose cookie holds 8,000 escapes kept a VM busy for 0.24 to 0.39 s (16 KB, within the limits of a head); four such callers left no processor time for others.

Cause: the standard library's cookie parser searches the rest of a quoted value anew for each escape.

Change: the one cookie that matters is split off; escapes in it are kept, as the key is only compared.

Why it works: each cookie is looked at once.

--- a/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
@@ -2,7 +2,6 @@
 
 import math
 import re
-from http.cookies import CookieError, SimpleCookie
 
 from berylbank._internal.utils.http_headers import HOP_BY_HOP_HEADERS, connection_options
 from berylbankd._internal.ingress.codec import (
@@ -88,13 +87,16 @@
 
 
 def _parse_object_key(cookie: bytes) -> str:
-    if not cookie:
-        return ""
-    try:
-        cookie_item = SimpleCookie(cookie.decode("latin-1")).get(names.OBJECT_KEY_COOKIE)
-    except CookieError:
-        return ""
-    return cookie_item.value if cookie_item is not None else ""
+    """Return the value of the object key's cookie without quotes, or an empty string.
+
+    Escapes in it are kept: the key is only compared. The standard library's parser takes a time
+    that grows with the square of the number of escapes.
+    """
+    for pair in cookie.decode("latin-1").split(";"):
+        name, separator, value = pair.partition("=")
+        if separator and name.strip() == names.OBJECT_KEY_COOKIE:
+            return value.strip().removeprefix('"').removesuffix('"')
+    return ""
 
 
 def _parse_integer(value: bytes | None) -> int | None:
