--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -47,6 +47,8 @@
 # How often all connections that are to be closed read together what their callers still send.
 LINGER_READS_PER_S = 500
 MIN_LINGER_PAUSE_S = 0.01
+# Callers that are refused here may try another VM at once.
+RETRY_ELSEWHERE_AFTER_S = 0.05
 STOP_POLL_INTERVAL_S = 0.02
 # Names under which the state of an ASGI scope holds functions that tell whether the caller is still
 # connected, and how many bytes that were written to the connection wait in this process.
@@ -402,7 +404,8 @@
             self.lingering_transport.close_now()
             return
         ran = Ran.NO if self.body_bytes <= MAX_REPLAYABLE_BODY_BYTES else Ran.UNKNOWN
-        self.transport.write(make_refusal_response(Refusal(kind, ran), request_id))
+        refusal = Refusal(kind, ran, RETRY_ELSEWHERE_AFTER_S)
+        self.transport.write(make_refusal_response(refusal, request_id))
         self.transport.close()
 
     # Reading
