Let callers who send request after request not hold up the others

What callers saw: beside 40 callers who send requests ahead or one right after the other, an ordinary request got a 503 after an eighth of its deadline or no answer at all.

Cause: once requests wait for longer than 50 ms the newest is started first, and the crowd's are always the newest; and only the oldest one's wait is checked, which has no end where its caller sent no deadline.

Change: connections with a request sent ahead take turns, one in each pass of the event loop. Requests of connections that had another one within a second wait in a queue of their own, which gets one start of each pass and what is left.

Why it works: who sends fastest no longer decides whose request is started.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import fcntl
+import math
 import os
 import select
 import socket
@@ -51,9 +52,12 @@
 RETRY_ELSEWHERE_AFTER_S = 0.05
 STOP_POLL_INTERVAL_S = 0.02
 # Names under which the state of an ASGI scope holds functions that tell whether the caller is still
-# connected, and how many bytes that were written to the connection wait in this process.
+# connected, and how many bytes that were written to the connection wait in this process; and
+# whether the connection has had another request begin within ``RECENT_REQUEST_S``.
 IS_CONNECTED = "is_connected"
 COUNT_UNSENT_BYTES = "count_unsent_bytes"
+SERVED_RECENTLY = "served_recently"
+RECENT_REQUEST_S = 1.0
 REQUEST_ID_HEADER = b"x-request-id"
 UPGRADE_HEADER = b"upgrade"
 CONNECT_METHOD = b"CONNECT"
@@ -170,7 +174,7 @@
     def resume_writing(self) -> None:
         """Go on writing, and serve the next request if the caller has sent it already."""
         super().resume_writing()
-        self.protocol.process_input()
+        self.protocol.serve_ahead()
 
 
 class CallerProtocol(HttpToolsProtocol):
@@ -198,6 +202,7 @@
         self.request_count = 0
         self.body_bytes = 0
         self.head_bytes = 0
+        self.last_request_s = -math.inf
 
     # Callbacks of the transport
 
@@ -213,6 +218,7 @@
         """End the requests of the connection."""
         self.budget.close(self)
         self.http_server.lingering.discard(self)
+        self.http_server.requests_ahead.discard(self)
         self.request_input.clear()
         self.input_ended = True
         self.lingering_transport.close_now()
@@ -253,7 +259,8 @@
         self.budget.charge(self)
 
     def _may_start_request(self) -> bool:
-        return not self.is_serving() and not self.flow.write_paused
+        waits_for_turn = self in self.http_server.requests_ahead.waiting
+        return not waits_for_turn and not self.is_serving() and not self.flow.write_paused
 
     def _parse_head(self) -> bool:
         """Parse the next head; return False if it is incomplete."""
@@ -323,6 +330,9 @@
         state = self.scope["state"]
         state[IS_CONNECTED] = self.is_connected
         state[COUNT_UNSENT_BYTES] = self.transport.get_write_buffer_size
+        now_s = self.loop.time()
+        state[SERVED_RECENTLY] = now_s < self.last_request_s + RECENT_REQUEST_S
+        self.last_request_s = now_s
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header to the request; the fields of a trailer section are dropped."""
@@ -375,6 +385,13 @@
         """Serve the next request, if the caller has sent it already."""
         self.server_state.total_requests += 1
         if not self.transport.is_closing():
+            self.serve_ahead()
+
+    def serve_ahead(self) -> None:
+        """Serve the next request when it is this connection's turn, if it was sent ahead."""
+        if self.request_input.held and not self.in_body:
+            self.http_server.requests_ahead.add(self)
+        else:
             self.process_input()
 
     def end_input(self) -> None:
@@ -651,6 +668,42 @@
         return True
 
 
+class RequestsAhead:
+    """Connections whose callers sent the next request before they had the last response.
+
+    They take turns, one request in each pass of the event loop, so that they leave the passes to
+    the callers that wait for their responses.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: dict[CallerProtocol, None] = {}
+        self.scheduled = False
+
+    def add(self, connection: CallerProtocol) -> None:
+        """Let a connection wait for its turn."""
+        self.waiting[connection] = None
+        self._schedule()
+
+    def discard(self, connection: CallerProtocol) -> None:
+        """Forget a connection that has ended."""
+        self.waiting.pop(connection, None)
+
+    def _schedule(self) -> None:
+        if not self.scheduled:
+            self.scheduled = True
+            asyncio.get_running_loop().call_soon(self._serve_first)
+
+    def _serve_first(self) -> None:
+        self.scheduled = False
+        if not self.waiting:
+            return
+        connection = next(iter(self.waiting))
+        del self.waiting[connection]
+        connection.process_input()
+        if self.waiting:
+            self._schedule()
+
+
 class HttpServer:
     """Serves an ASGI application on one address."""
 
@@ -659,6 +712,7 @@
         self.budget = budget or ConnectionBudget()
         self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self.lingering: set[CallerProtocol] = set()
+        self.requests_ahead = RequestsAhead()
         self.config = Config(
             app,
             http=HttpToolsProtocol,
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -157,7 +157,10 @@
         """
         if self.stop_plan is not None and self.clock.now_ms() > self.stop_plan.last_start_ms:
             return make_stop_refusal()
-        if not await self.intake.admit(exchange.arrived_ms, get_caller_deadline_ms(exchange)):
+        caller_deadline_ms = get_caller_deadline_ms(exchange)
+        if not await self.intake.admit(
+            exchange.arrived_ms, caller_deadline_ms, exchange.served_recently
+        ):
             retry_after_s = self.steering.retry_delays.next_delay_ms(OVERLOAD_RETRY_MS) / 1000
             return Refusal(RefusalKind.VM_OVERLOADED, retry_after_s=retry_after_s)
         if not exchange.is_connected():
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/exchange.py
@@ -9,6 +9,7 @@
     COUNT_UNSENT_BYTES,
     IS_CONNECTED,
     MAX_REPLAYABLE_BODY_BYTES,
+    SERVED_RECENTLY,
 )
 from berylbankd._internal.ingress.codec import HeaderCodec, HeaderList, RequestMetadata
 from berylbankd._internal.models.types import Organisation, Route
@@ -41,7 +42,8 @@
     """A caller's request with its body; sends the response.
 
     ``is_connected`` tells whether the caller is still there, ``count_unsent_bytes`` how much of the
-    response waits in this process. ``body`` is the buffered part of the
+    response waits in this process, ``served_recently`` whether its connection has had another
+    request served a moment ago. ``body`` is the buffered part of the
     request body, ``body_complete`` is set once the whole body has been received, buffered or not,
     and ``body_replayable`` is unset once a part of it was received that is not in the buffer.
     ``route`` and ``organisation`` are set when the request is admitted. ``response_started`` is set
@@ -62,6 +64,7 @@
         state = scope.get("state", {})
         self.is_connected: Callable[[], bool] = state.get(IS_CONNECTED, assume_connected)
         self.count_unsent_bytes: Callable[[], int] = state.get(COUNT_UNSENT_BYTES, assume_sent)
+        self.served_recently: bool = state.get(SERVED_RECENTLY, False)
         self.arrived_ms = now_ms
         self.metadata: RequestMetadata = codec.decode_request(self.headers)
         self.body = b""
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/intake.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/intake.py
@@ -4,7 +4,9 @@
 second at a time. Meanwhile the VM reads no connection, so that it answers late, works for callers
 that have left, and finishes few requests in time. Here requests wait outside, a long wait is
 refused early, and once there is a queue, the newest request is started first: its caller has the
-most time left.
+most time left. Requests of connections that were served a moment ago wait in a queue of their own,
+which gets one start of each pass and those that the others leave: a few callers who send request
+after request would always have the newest ones.
 """
 
 from collections import deque
@@ -23,6 +25,8 @@
 MAX_WAIT_DEADLINE_RATIO = 0.125
 # When the oldest request has waited for longer, the newest one is started first.
 FIFO_WAIT_MS = 50
+# Starts of each pass that are left to connections that were served a moment ago.
+MIN_STARTS_AGAIN_PER_PASS = 1
 
 
 class WaitingRequest:
@@ -43,57 +47,69 @@
 class RequestIntake:
     """Decides when each request is started, or that it is refused.
 
-    ``waiting`` holds the requests in the order of their arrival.
+    ``waiting`` holds the requests in the order of their arrival, ``waiting_again`` those of
+    connections that were served a moment ago.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.waiting: deque[WaitingRequest] = deque()
+        self.waiting_again: deque[WaitingRequest] = deque()
         self.started_in_pass = 0
+        self.decisions_in_pass = 0.0
         self.pass_due = anyio.Event()
 
-    async def admit(self, arrived_ms: int, deadline_ms: int) -> bool:
+    async def admit(self, arrived_ms: int, deadline_ms: int, again: bool = False) -> bool:
         """Wait until a request may be started; return False if it must be refused.
 
         ``arrived_ms`` is a time of the clock, ``deadline_ms`` how long the caller waits in total.
+        ``again`` is set if its connection was served a moment ago.
         """
         self.pass_due.set()
-        if not self.waiting and self.started_in_pass < MAX_STARTS_PER_PASS:
+        if not self.has_waiting() and self.started_in_pass < MAX_STARTS_PER_PASS:
             self.started_in_pass += 1
             return True
         request = WaitingRequest(arrived_ms, deadline_ms * MAX_WAIT_DEADLINE_RATIO)
-        self.waiting.append(request)
+        queue = self.waiting_again if again else self.waiting
+        queue.append(request)
         try:
             await request.decided.wait()
         finally:
             if not request.decided.is_set():
-                self.waiting.remove(request)
+                queue.remove(request)
         return request.admitted
 
+    def has_waiting(self) -> bool:
+        """Tell whether a request waits to be started."""
+        return bool(self.waiting or self.waiting_again)
+
     async def run(self) -> None:
         """Start waiting requests after each pass of the event loop, until cancelled."""
         while True:
             await self.pass_due.wait()
             await anyio.lowlevel.checkpoint()
             self.start_pass(self.clock.now_ms())
-            if not self.waiting:
+            if not self.has_waiting():
                 self.pass_due = anyio.Event()
 
     def start_pass(self, now_ms: int) -> None:
         """Decide on as many waiting requests as one pass of the event loop can handle."""
-        self.started_in_pass = refused = 0
-        while (
-            self.waiting
-            and self.started_in_pass + refused / REFUSALS_PER_START < MAX_STARTS_PER_PASS
-        ):
-            oldest = self.waiting[0]
-            waited_ms = now_ms - oldest.arrived_ms
-            if waited_ms > oldest.max_wait_ms:
-                self.waiting.popleft().decide(False)
-                refused += 1
+        self.started_in_pass, self.decisions_in_pass = 0, 0.0
+        self._decide(self.waiting_again, now_ms, MIN_STARTS_AGAIN_PER_PASS, newest_first=False)
+        self._decide(self.waiting, now_ms, MAX_STARTS_PER_PASS, newest_first=True)
+        self._decide(self.waiting_again, now_ms, MAX_STARTS_PER_PASS, newest_first=False)
+
+    def _decide(
+        self, queue: deque[WaitingRequest], now_ms: int, max_decisions: int, *, newest_first: bool
+    ) -> None:
+        """Start or refuse requests of a queue until a pass has so many; a refusal counts less."""
+        while queue and self.decisions_in_pass < max_decisions:
+            waited_ms = now_ms - queue[0].arrived_ms
+            if waited_ms > queue[0].max_wait_ms:
+                queue.popleft().decide(False)
+                self.decisions_in_pass += 1 / REFUSALS_PER_START
                 continue
-            if waited_ms > FIFO_WAIT_MS:
-                self.waiting.pop().decide(True)
-            else:
-                self.waiting.popleft().decide(True)
+            use_newest = newest_first and waited_ms > FIFO_WAIT_MS
+            (queue.pop() if use_newest else queue.popleft()).decide(True)
             self.started_in_pass += 1
+            self.decisions_in_pass += 1
--- a/tests/functional/hostile_callers.feature
+++ b/tests/functional/hostile_callers.feature
@@ -54,6 +54,18 @@
     Then an ordinary request is answered while they stay connected
     And the VM lives, within its memory and descriptors
 
+  Scenario Outline: callers that go on to send <what> to the <port> port and read <reading> hold up nobody
+    When 40 callers go on to send <what> to the <port> port and read <reading>
+    Then ordinary requests are answered while they send
+    And the VM lives, within its memory and descriptors
+
+    Examples:
+      | what                 | port    | reading |
+      | bare request lines   | callers | nothing |
+      | requests with a host | callers | nothing |
+      | requests with a host | callers | all     |
+      | bare request lines   | look-up | nothing |
+
   Scenario Outline: a single request with <what> that fills the limits is served
     When a caller sends a request with <what> that fills the limits
     Then it is answered as an ordinary one
--- a/tests/steps/hostile_caller_steps.py
+++ b/tests/steps/hostile_caller_steps.py
@@ -17,7 +17,7 @@
 )
 
 from berylbank_standins._internal.steered_backend import SteeredBehaviour
-from tests.support.crowd import Crowd, Sending
+from tests.support.crowd import Crowd, Sending, start_crowd_process
 
 MAX_HEADER_BYTES = 4_096
 MAX_BODY_BYTES = 1_000_000
@@ -66,6 +66,8 @@
 }
 AHEAD_BYTES = 131_072
 MANY_AHEAD_BYTES = 262_144
+ENDLESS_BYTES = 10**9
+ORDINARY_REQUESTS = 5
 # What is sent once, after which the connection is held.
 HELD = {
     "half a head": GET,
@@ -147,7 +149,7 @@
         stack.close()
 
 
-def start_crowd(context, count, port, sending, reads=False):
+def find_address(context, port):
     fleet = context.hostile_fleet
     ports = {
         "callers": fleet.http_port,
@@ -156,7 +158,11 @@
         "rows": fleet.peer_port,
         "metrics": fleet.peer_port + 1,
     }
-    context.crowd = Crowd((fleet.vms[0].ip, ports[port]), count, sending, reads)
+    return fleet.vms[0].ip, ports[port]
+
+
+def start_crowd(context, count, port, sending, reads=False):
+    context.crowd = Crowd(find_address(context, port), count, sending, reads)
     context.hostile_stack.callback(context.crowd.close)
     context.crowd.send()
 
@@ -197,6 +203,20 @@
     start_crowd(context, count, port, sending, reads=reading == "all")
 
 
+@when("{count:d} callers go on to send {what} to the {port} port and read {reading}")
+def step_go_on(context, count, what, port, reading):
+    sending = Sending(b"", AHEAD[what], ENDLESS_BYTES)
+    process = start_crowd_process(find_address(context, port), count, sending, reading == "all")
+    context.hostile_stack.callback(process.wait)
+    context.hostile_stack.callback(process.kill)
+
+
+@then("ordinary requests are answered while they send")
+def step_ordinary_meanwhile(context):
+    for _ in range(ORDINARY_REQUESTS):
+        step_ordinary(context)
+
+
 @when("{count:d} callers hold connections to the {port} port with {what}")
 def step_hold(context, count, port, what):
     if what == "a long answer not read":
--- a/tests/steps/intake_steps.py
+++ b/tests/steps/intake_steps.py
@@ -104,3 +104,40 @@
 @then("{count:d} requests are started in 2 passes")
 def step_all_started(context, count):
     assert context.admitted == [True] * count, context.admitted
+
+
+@when(
+    "{count:d} callers send their next request as soon as the last one is started,"
+    " and another caller sends one"
+)
+def step_send_again(context, count):
+    intake, limit_ms, context.waited_ms = context.intake, 10**6, 10**6
+    # Commits without a queue for such requests have one queue for all.
+    queue = getattr(intake, "waiting_again", intake.waiting)
+    pending = [WaitingRequest(0, limit_ms) for _ in range(count)]
+    queue.extend(pending)
+    context.starts, context.request = [0] * count, None
+    for now_ms in range(0, 2000, context.pass_ms):
+        intake.start_pass(now_ms)
+        if context.request is None and now_ms > 200:
+            context.request = WaitingRequest(now_ms, 3000 / 8)
+            intake.waiting.append(context.request)
+        for number, request in enumerate(pending):
+            if request.decided.is_set():
+                context.starts[number] += 1
+                pending[number] = WaitingRequest(now_ms, limit_ms)
+                queue.append(pending[number])
+        if context.request is not None and context.request.decided.is_set():
+            waited_ms = now_ms - context.request.arrived_ms
+            context.waited_ms = min(context.waited_ms, waited_ms)
+
+
+@then("requests of each of the {count:d} callers were started all the while")
+def step_all_started(context, count):
+    assert len(context.starts) == count and min(context.starts) > 1, context.starts
+
+
+@then("its request is started before it has waited for {ms:d} ms")
+def step_started_in_time(context, ms):
+    assert context.request.decided.is_set(), "it still waits"
+    assert context.request.admitted and context.waited_ms < ms, context.waited_ms
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -1,4 +1,4 @@
-"""A crowd of callers that do not behave, over raw sockets.
+"""A crowd of callers that do not behave, over raw sockets, in this process or as one of its own.
 
 Each caller sends an opening and then the same block again and again, up to an amount of bytes or
 until the VM closes its connection. A caller reads nothing of its responses unless told to.
@@ -6,9 +6,13 @@
 
 import selectors
 import socket
+import subprocess
+import sys
 import time
+from pathlib import Path
 from typing import NamedTuple
 
+ROOT = Path(__file__).parent.parent.parent
 SEND_BYTES = 65_536
 READ_BYTES = 65_536
 # A crowd stops sending when the VM has taken nothing of any caller for this long.
@@ -125,3 +129,36 @@
         """Close all connections."""
         for caller in self.callers:
             caller.socket.close()
+
+
+def start_crowd_process(
+    address: tuple[str, int], count: int, sending: Sending, reads: bool
+) -> subprocess.Popen[bytes]:
+    """Start a process with a crowd that sends only the block, until it is killed."""
+    host, port = address
+    arguments = [host, str(port), str(count), str(sending.total_bytes), str(int(reads))]
+    process = subprocess.Popen(
+        [sys.executable, "-m", "tests.support.crowd", *arguments],
+        cwd=ROOT,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    assert process.stdin is not None and process.stdout is not None
+    process.stdin.write(sending.block)
+    process.stdin.close()
+    # The crowd is connected.
+    process.stdout.readline()
+    return process
+
+
+def main() -> None:
+    """Run the crowd that the arguments describe."""
+    host, port, count, total_bytes, reads = sys.argv[1:]
+    sending = Sending(b"", sys.stdin.buffer.read(), int(total_bytes))
+    crowd = Crowd((host, int(port)), int(count), sending, reads == "1")
+    print("connected", flush=True)
+    crowd.send()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/unit/ingress/intake.feature
+++ b/tests/unit/ingress/intake.feature
@@ -18,3 +18,9 @@
     Given a VM that handles 400 requests a second in passes of 8
     When 12 requests arrive at once and the last one is cancelled
     Then 11 requests are started in 2 passes
+
+  Scenario: callers who send their next request at once do not hold up another one
+    Given a VM that handles 400 requests a second in passes of 8
+    When 40 callers send their next request as soon as the last one is started, and another caller sends one
+    Then its request is started before it has waited for 375 ms
+    And requests of each of the 40 callers were started all the while
