--- a/packages/berylbankd/src/berylbankd/_internal/ingress/request_log.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/request_log.py
@@ -67,9 +67,12 @@
             self.log_writer.enqueue_line(time.time(), level, "request", record._asdict())
 
     def record_connection_refusal(self, cause: str, request_id: str) -> None:
-        """Count a connection that was ended before its request was admitted, and log it."""
+        """Count a connection that was ended before its request was admitted, and log it.
+
+        In a flood of them, half of the lines are left to requests.
+        """
         self.metrics.count_refusal("", cause)
-        if self.log_writer.take_request_line_token(priority=True):
+        if self.log_writer.take_request_line_token(priority=False):
             fields = {"cause": cause, "request_id": request_id}
             self.log_writer.enqueue_line(time.time(), "WARNING", "connection ended", fields)
 
