--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -217,5 +217,5 @@
 
 @then("no guarantee is violated and callers were served")
 def step_run_succeeded(context):
-    assert context.result.violations == []
+    assert context.result.violations == [], context.result.violations
     assert context.result.statuses.get(200, 0) > 0, context.result.statuses
