Tell whether the refused request ran, not the one before it

What callers saw: on a kept connection a head that is malformed, too large or too slow was refused with "ran": "unknown" if the request before it had a body of more than 262,144 bytes. Nothing of the refused request can have run.

Cause: refuse() took the length of the body that had come last, which is that of the request before while a head arrives.

Change: it asks may_refuse(), and says "unknown" only of a request that is being served.

Evidence: unit/connections/requests, 'does not speak of the one before it': "unknown" on, "no" now.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -405,6 +405,7 @@
         If its response has begun already, the connection is closed, so that nothing else is taken
         for a part of it.
         """
+        may_refuse = self.may_refuse()
         self.refused = True
         self.end_input()
         if self.transport.is_closing():
@@ -420,7 +421,7 @@
         if in_request and self.cycle.response_started:
             self.lingering_transport.close_now()
             return
-        ran = Ran.NO if self.body_bytes <= MAX_REPLAYABLE_BODY_BYTES else Ran.UNKNOWN
+        ran = Ran.NO if may_refuse or not in_request else Ran.UNKNOWN
         refusal = Refusal(kind, ran, RETRY_ELSEWHERE_AFTER_S)
         self.transport.write(make_refusal_response(refusal, request_id))
         self.transport.close()
--- a/tests/steps/connection_request_steps.py
+++ b/tests/steps/connection_request_steps.py
@@ -1,6 +1,7 @@
 """Steps on what a server's application gets of the requests of a connection, over real sockets."""
 
 import asyncio
+import json
 
 import anyio
 from behave import then, when
@@ -10,12 +11,16 @@
 from hypothesis import strategies as st
 from slow_links import SlowCaller
 
-from berylbankd._internal.http_server import HttpServer
+from berylbankd._internal.connections.budget import FILE_DESCRIPTORS, ConnectionBudget
+from berylbankd._internal.http_server import MAX_REPLAYABLE_BODY_BYTES, HttpServer
+from berylbankd._internal.models.types import CallerLimits
 
 FAST = 1e9
 MOMENT_S = 0.05
 TEST_LIMIT_S = 20
 EXAMPLES = 60
+MAX_BODY_BYTES = 1_000_000
+EMPTY = (b"content-length", b"0")
 BODY = b"a\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n"
 OFFERS = {
     "h2c": b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAEA\r\n",
@@ -44,12 +49,23 @@
         await send({"type": "http.response.body", "body": answer})
 
 
-def exchange(parts, answers, pause_s=0.0):
+class EarlyApp:
+    """Responds to each request before it has read the body."""
+
+    async def __call__(self, scope, receive, send):
+        """Respond, and leave the body."""
+        await send({"type": "http.response.start", "status": 200, "headers": [EMPTY]})
+        await send({"type": "http.response.body", "body": b""})
+
+
+def exchange(parts, answers, pause_s=0.0, app=None, limits=None):
     """Send parts of a connection's bytes; return the requests that arrived, and the answers."""
-    app = RecordingApp()
+    app = app or RecordingApp()
+    budget = ConnectionBudget()
+    budget.limits = limits or budget.limits
 
     async def run():
-        server = HttpServer(app, f"{HOST}:{free_port()}")
+        server = HttpServer(app, f"{HOST}:{free_port()}", budget)
         await server.start()
         caller = SlowCaller(server.address.host, server.address.port, FAST)
         await caller.connect()
@@ -62,7 +78,8 @@
         await server.stop(0)
         return received
 
-    return app.requests, anyio.run(run, backend_options={"use_uvloop": True})
+    received = anyio.run(run, backend_options={"use_uvloop": True})
+    return getattr(app, "requests", []), received
 
 
 def frame(body, chunk_sizes=None):
@@ -148,3 +165,62 @@
         ]
 
     check()
+
+
+@when("a caller sends more of a body than is allowed after the response to its request")
+def step_too_much_after(context):
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunk = b"%x\r\n" % MAX_BODY_BYTES + b"x" * MAX_BODY_BYTES + b"\r\n"
+    limits = CallerLimits(max_body_bytes=MAX_BODY_BYTES)
+    _, context.received = exchange([head, chunk, chunk], 2, MOMENT_S, EarlyApp(), limits)
+
+
+@then("its connection ends without another response")
+def step_no_second(context):
+    first, second = context.received
+    assert (first.status, first.end) == (200, "whole"), first
+    assert (second.status, second.end) != (413, "whole") and not second.status, second
+
+
+@when("a caller sends a long body, and a malformed head after the response")
+def step_malformed_after(context):
+    header, body = frame(b"x" * (MAX_REPLAYABLE_BODY_BYTES + 1))
+    first = b"POST / HTTP/1.1\r\nHost: a\r\n" + header + b"\r\n" + body
+    _, context.received = exchange([first, b"GET / HTTP/1.1\r\n: \r\n\r\n"], 2, MOMENT_S)
+
+
+@then("the refusal says that the request did not run")
+def step_not_run(context):
+    refusal = context.received[1]
+    assert (refusal.status, json.loads(refusal.body)["ran"]) == (400, "no"), refusal
+
+
+@when("a caller with half a body gives way to a new connection")
+def step_half_body_gives_way(context):
+    context.reported = []
+    budget = ConnectionBudget(max_descriptors=FILE_DESCRIPTORS + 2)
+    budget.on_refusal = lambda cause, _: context.reported.append(cause)
+
+    async def run():
+        server = HttpServer(RecordingApp(), f"{HOST}:{free_port()}", budget)
+        await server.start()
+        first, second = (
+            SlowCaller(server.address.host, server.address.port, FAST) for _ in range(2)
+        )
+        with anyio.fail_after(TEST_LIMIT_S):
+            await first.connect()
+            await first.send(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf")
+            await asyncio.sleep(MOMENT_S)
+            await second.connect()
+            context.received = [await first.read_response()]
+        first.close()
+        second.close()
+        await server.stop(0)
+
+    anyio.run(run, backend_options={"use_uvloop": True})
+
+
+@then("it was refused with status {status:d}, and reported once")
+def step_reported_once(context, status):
+    assert context.received[0].status == status, context.received
+    assert len(context.reported) == 1, context.reported
--- a/tests/unit/connections/requests.feature
+++ b/tests/unit/connections/requests.feature
@@ -22,3 +22,7 @@
   Scenario: a field of a trailer section does not replace a header
     When a caller sends a chunked request whose trailer section has the name of a header
     Then the header arrived as it was in the head
+
+  Scenario: a refusal of a request on a kept connection does not speak of the one before it
+    When a caller sends a long body, and a malformed head after the response
+    Then the refusal says that the request did not run
