Send no refusal after the response to a request

What callers saw: where a backend server or the VM answers before the body has come whole, and the body then turns out too large or malformed, the connection got a 413 or 400 behind the whole response. A caller that sends its next request there takes it for that request's response.

Cause: refuse() looked at the response of a request that is being served only, and took one that had its response for one that has none.

Change: the connection remembers whether the request whose body arrives was passed on; if its response is complete, the connection ends, after the response was read, without another one.

Evidence: unit/connections/requests, 'gets no second one': a 413 after the 200 on, only the end of the connection now.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -182,7 +182,8 @@
 
     Requests are parsed and served one at a time: the next one waits as bytes until the caller has
     read enough of the response before it. ``request_count`` counts the requests whose head was
-    complete, ``body_bytes`` the body of the last one as far as it has come.
+    complete, ``body_bytes`` the body of the last one as far as it has come; ``dispatched`` tells
+    whether the application has got it.
     """
 
     def __init__(self, http_server: "HttpServer") -> None:
@@ -199,6 +200,7 @@
         self.head_due = False
         self.offers_upgrade = False
         self.in_body: bool = False
+        self.dispatched = False
         self.request_count = 0
         self.body_bytes = 0
         self.head_bytes = 0
@@ -344,6 +346,7 @@
         if self.parser.should_upgrade():
             return
         self.head_due = False
+        self.dispatched = False
         self.request_count += 1
         self.body_bytes = 0
         fields = dict(self.headers)
@@ -356,6 +359,7 @@
         if not self.budget.admit(self):
             self.refuse(RefusalKind.CALLERS_HOLD_TOO_MUCH)
             return
+        self.dispatched = True
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
@@ -402,8 +406,8 @@
     def refuse(self, kind: RefusalKind) -> None:
         """Refuse the request that the caller is sending, and end the connection.
 
-        If its response has begun already, the connection is closed, so that nothing else is taken
-        for a part of it.
+        If its response has begun already, the connection ends without another one, which would be
+        taken for a part of it or for the response to another request.
         """
         may_refuse = self.may_refuse()
         self.refused = True
@@ -421,9 +425,11 @@
         if in_request and self.cycle.response_started:
             self.lingering_transport.close_now()
             return
-        ran = Ran.NO if may_refuse or not in_request else Ran.UNKNOWN
-        refusal = Refusal(kind, ran, RETRY_ELSEWHERE_AFTER_S)
-        self.transport.write(make_refusal_response(refusal, request_id))
+        responded = self.in_body and self.dispatched and not in_request
+        if not responded:
+            ran = Ran.NO if may_refuse or not in_request else Ran.UNKNOWN
+            refusal = Refusal(kind, ran, RETRY_ELSEWHERE_AFTER_S)
+            self.transport.write(make_refusal_response(refusal, request_id))
         self.transport.close()
 
     # Reading
--- a/tests/unit/connections/requests.feature
+++ b/tests/unit/connections/requests.feature
@@ -23,6 +23,10 @@
     When a caller sends a chunked request whose trailer section has the name of a header
     Then the header arrived as it was in the head
 
+  Scenario: a caller that sends more than is allowed after its response gets no second one
+    When a caller sends more of a body than is allowed after the response to its request
+    Then its connection ends without another response
+
   Scenario: a refusal of a request on a kept connection does not speak of the one before it
     When a caller sends a long body, and a malformed head after the response
     Then the refusal says that the request did not run
