Report a half body that gives way once

An operator saw two lines and two counts for one decision: the refusal's, callers_hold_too_much, and the budget's, gave_way_body. The first has the request's id and stays. unit/connections/requests, 'is reported once': both on.

--- a/packages/berylbankd/src/berylbankd/_internal/connections/budget.py
+++ b/packages/berylbankd/src/berylbankd/_internal/connections/budget.py
@@ -233,6 +233,8 @@
         state = held.progress.state
         if not held.connection.give_way(state):
             return False
-        self.on_refusal(f"gave_way_{state.value}", "")
+        # The refusal of a request whose body had begun to arrive has been reported with its id.
+        if state is not ConnectionState.BODY:
+            self.on_refusal(f"gave_way_{state.value}", "")
         self.close(held.connection)
         return True
--- a/tests/unit/connections/requests.feature
+++ b/tests/unit/connections/requests.feature
@@ -30,3 +30,7 @@
   Scenario: a refusal of a request on a kept connection does not speak of the one before it
     When a caller sends a long body, and a malformed head after the response
     Then the refusal says that the request did not run
+
+  Scenario: a half body that gives way to a new connection is reported once
+    When a caller with half a body gives way to a new connection
+    Then it was refused with status 503, and reported once
