--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -5,19 +5,13 @@
 """
 
 import asyncio
-import fcntl
 import math
-import os
-import select
 import socket
-import struct
-import termios
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any, NamedTuple, cast
 
 import httptools
-from loguru import logger
 from uvicorn.config import Config
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -32,7 +26,15 @@
     ConnectionState,
     Progress,
 )
+from berylbankd._internal.connections.lingering import LingeringTransport
 from berylbankd._internal.connections.request_input import HeadTooLargeError, RequestInput
+from berylbankd._internal.connections.requests_ahead import RequestsAhead
+from berylbankd._internal.connections.sockets import (
+    accept_waiting,
+    has_hung_up,
+    has_input,
+    read_send_queue_size,
+)
 from berylbankd._internal.refusals import Ran, Refusal, RefusalKind
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
@@ -43,8 +45,6 @@
 # Request bodies up to about this size are buffered, so that a retry can send them again. No backend
 # server gets a part of one before it is complete. The rest of a longer one is sent as it arrives.
 MAX_REPLAYABLE_BODY_BYTES = 262_144
-# How long a connection that is to be closed is kept for a caller that still sends.
-LINGER_TIMEOUT_S = 5.0
 # How often all connections that are to be closed read together what their callers still send.
 LINGER_READS_PER_S = 500
 MIN_LINGER_PAUSE_S = 0.01
@@ -61,7 +61,6 @@
 REQUEST_ID_HEADER = b"x-request-id"
 UPGRADE_HEADER = b"upgrade"
 CONNECT_METHOD = b"CONNECT"
-QUEUE_SIZE_FORMAT = "i"
 
 
 class UndeliveredResponse(NamedTuple):
@@ -77,85 +76,6 @@
     complete: bool
 
 
-class LingeringTransport:
-    """A caller's transport that can be closed while the caller still sends.
-
-    The kernel resets a connection that is closed before all input was read, and drops what it has
-    not delivered of the response. So the transport first ends its own direction only, and is closed
-    when the caller closes, or has its response and sends on after ``LINGER_TIMEOUT_S``.
-    """
-
-    def __init__(self, transport: asyncio.Transport, protocol: "CallerProtocol") -> None:
-        self.transport = transport
-        self.protocol = protocol
-        self.lingering = False
-        self.timer: asyncio.TimerHandle | None = None
-        self.read_timer: asyncio.TimerHandle | None = None
-        self.written_bytes = 0
-        self.get_extra_info = transport.get_extra_info
-        self.get_write_buffer_size = transport.get_write_buffer_size
-        self.pause_reading = transport.pause_reading
-        self.resume_reading = transport.resume_reading
-
-    def write(self, data: bytes) -> None:
-        """Write bytes."""
-        self.written_bytes += len(data)
-        self.transport.write(data)
-
-    def count_taken_bytes(self) -> int:
-        """Return how many of all written bytes the kernel has taken."""
-        return self.written_bytes - self.get_write_buffer_size()
-
-    def is_closing(self) -> bool:
-        """Tell whether nothing more is sent after what was written already."""
-        return self.lingering or self.transport.is_closing()
-
-    def close(self) -> None:
-        """Close the connection after what was written, and wait for a caller that still sends."""
-        if self.is_closing():
-            return
-        if not self.protocol.must_linger():
-            self.transport.close()
-            return
-        self.lingering = True
-        self.protocol.start_lingering()
-        self.transport.write_eof()
-        self._start_timer()
-
-    def close_now(self) -> None:
-        """Close the connection after what was written, whether or not the caller still sends."""
-        self._cancel_timers()
-        self.transport.close()
-
-    def abort(self) -> None:
-        """Close the connection at once, and drop what has not left this process."""
-        self._cancel_timers()
-        self.transport.abort()
-
-    def read_later(self, delay_s: float) -> None:
-        """Read nothing more until a time has passed."""
-        self.transport.pause_reading()
-        self.read_timer = asyncio.get_running_loop().call_later(delay_s, self._read_on)
-
-    def _read_on(self) -> None:
-        if not self.transport.is_closing():
-            self.transport.resume_reading()
-
-    def _start_timer(self) -> None:
-        self.timer = asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self._on_timeout)
-
-    def _cancel_timers(self) -> None:
-        for timer in (self.timer, self.read_timer):
-            if timer is not None:
-                timer.cancel()
-
-    def _on_timeout(self) -> None:
-        if self.protocol.find_undelivered() is None:
-            self.close_now()
-        else:
-            self._start_timer()
-
-
 class RequestFlow(FlowControl):
     """Flow control of a connection; the protocol decides when it reads."""
 
@@ -631,86 +551,6 @@
         self.protocol.data_received(bytes(self.buffer[:nbytes]))
 
 
-def read_send_queue_size(file_descriptor: int) -> int:
-    """Return how many bytes the kernel holds that the other end has not acknowledged.
-
-    It is 0 where the kernel does not tell.
-    """
-    try:
-        size = fcntl.ioctl(file_descriptor, termios.TIOCOUTQ, struct.pack(QUEUE_SIZE_FORMAT, 0))
-    except (OSError, ValueError):  # ValueError: the connection has just been closed
-        return 0
-    return int(struct.unpack(QUEUE_SIZE_FORMAT, size)[0])
-
-
-def has_input(file_descriptor: int) -> bool:
-    """Tell whether there is input on a connection that the event loop has not read.
-
-    That is a request which has just arrived. The close of the other end does not count.
-    """
-    poll = select.poll()
-    poll.register(file_descriptor, select.POLLIN | select.POLLRDHUP)
-    events = poll.poll(0)
-    return bool(events) and events[0][1] == select.POLLIN
-
-
-def has_hung_up(file_descriptor: int) -> bool:
-    """Tell whether the other end of a TCP connection has closed it."""
-    poll = select.poll()
-    poll.register(file_descriptor, select.POLLIN | select.POLLRDHUP)
-    events = poll.poll(0)
-    if not events:
-        return False
-    if events[0][1] & ~select.POLLIN:
-        return True
-    try:
-        duplicate = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, 0, fileno=os.dup(file_descriptor)
-        )
-        with duplicate:
-            return not duplicate.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
-class RequestsAhead:
-    """Connections whose callers sent the next request before they had the last response.
-
-    They take turns, one request in each pass of the event loop, so that they leave the passes to
-    the callers that wait for their responses.
-    """
-
-    def __init__(self) -> None:
-        self.waiting: dict[CallerProtocol, None] = {}
-        self.scheduled = False
-
-    def add(self, connection: CallerProtocol) -> None:
-        """Let a connection wait for its turn."""
-        self.waiting[connection] = None
-        self._schedule()
-
-    def discard(self, connection: CallerProtocol) -> None:
-        """Forget a connection that has ended."""
-        self.waiting.pop(connection, None)
-
-    def _schedule(self) -> None:
-        if not self.scheduled:
-            self.scheduled = True
-            asyncio.get_running_loop().call_soon(self._serve_first)
-
-    def _serve_first(self) -> None:
-        self.scheduled = False
-        if not self.waiting:
-            return
-        connection = next(iter(self.waiting))
-        del self.waiting[connection]
-        connection.process_input()
-        if self.waiting:
-            self._schedule()
-
-
 class HttpServer:
     """Serves an ASGI application on one address."""
 
@@ -798,18 +638,3 @@
 
     def _make_protocol(self) -> ConnectionReader:
         return ConnectionReader(CallerProtocol(self), self.read_buffer)
-
-
-def accept_waiting(listener: socket.socket) -> list[socket.socket]:
-    """Accept the connections that callers have opened and the event loop has not accepted yet."""
-    waiting: list[socket.socket] = []
-    while True:
-        try:
-            connection, _ = listener.accept()
-        except BlockingIOError:
-            return waiting
-        except OSError as error:
-            logger.warning("connections that wait to be accepted are closed: {}", error)
-            return waiting
-        connection.setblocking(False)
-        waiting.append(connection)
--- a/packages/berylbankd/src/berylbankd/_internal/serving.py
+++ b/packages/berylbankd/src/berylbankd/_internal/serving.py
@@ -14,7 +14,7 @@
 from hypercorn.typing import LifespanState
 from hypercorn.utils import wrap_app
 
-from berylbankd._internal.http_server import accept_waiting
+from berylbankd._internal.connections.sockets import accept_waiting
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 # In effect no limit.
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -9,7 +9,7 @@
 from fleet import HOST, free_port
 from slow_links import SlowCaller, SlowProxy
 
-from berylbankd._internal import http_server
+from berylbankd._internal.connections import lingering
 from berylbankd._internal.http_server import HttpServer
 
 HEADERS = {"host": "a.example"}
@@ -60,8 +60,8 @@
             await act(server)
         await server.stop(0)
 
-    linger_s = context.linger_s or http_server.LINGER_TIMEOUT_S
-    with mock.patch.object(http_server, "LINGER_TIMEOUT_S", linger_s):
+    linger_s = context.linger_s or lingering.LINGER_TIMEOUT_S
+    with mock.patch.object(lingering, "LINGER_TIMEOUT_S", linger_s):
         anyio.run(run, backend_options={"use_uvloop": True})
 
 
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -4,6 +4,7 @@
 until the VM closes its connection. A caller reads nothing of its responses unless told to.
 """
 
+import contextlib
 import selectors
 import socket
 import subprocess
@@ -37,7 +38,6 @@
     def __init__(self, address: tuple[str, int], sending: Sending) -> None:
         self.socket = socket.create_connection(address, CONNECT_TIMEOUT_S)
         self.socket.setblocking(False)
-        self.sending = sending
         repeated = sending.block * (SEND_BYTES // len(sending.block)) if sending.block else b""
         self.repeated = repeated
         self.unsent = memoryview(sending.opening)
@@ -79,22 +79,16 @@
 
 
 class Crowd:
-    """Callers of one address that all send the same.
-
-    Callers that could not connect are counted in ``turned_away``.
-    """
+    """Callers of one address that all send the same, but for those that could not connect."""
 
     def __init__(
         self, address: tuple[str, int], count: int, sending: Sending, reads: bool = False
     ) -> None:
         self.reads = reads
         self.callers: list[CrowdCaller] = []
-        self.turned_away = 0
         for _ in range(count):
-            try:
+            with contextlib.suppress(OSError):
                 self.callers.append(CrowdCaller(address, sending))
-            except OSError:
-                self.turned_away += 1
 
     def send(self) -> None:
         """Send until every caller has sent everything, or the VM takes nothing more."""
