Keep the revision that the store gave a row, beside what a read tells of its presence

What operators saw: after a stale read a VM could hold an old version of a row for good, and say that it was sure: an old state or address of a backend server, which it went on using.

Cause: where a read restored a row, or lacked one, the cache wrote the row down under the revision of the read. The real change lay between the two revisions, and never passed the made-up one again.

Change: a row keeps its revision; the read from which its presence or absence was inferred is held beside it (as_of), between VMs too. merge_rows() decides between two sources. What is reported as changed is the row as it is known then.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -161,7 +161,7 @@
     def apply_rows(self, rows: Iterable[Row], source: str) -> None:
         """Store the rows that are newer than the known ones, and report them as changed."""
         now_ms = self.clock.now_ms()
-        newer = [row for row in rows if self.row_cache.apply(row)]
+        newer = [item for row in rows for item in self.row_cache.apply(row)]
         self._report_changes(newer, source, now_ms)
 
     def rows_after(self, request: RowsRequest) -> TableRows:
--- a/packages/berylbankd/src/berylbankd/_internal/models/rows.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/rows.py
@@ -1,5 +1,6 @@
 """Rows of the store, and a cache of them that never returns to an older revision."""
 
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 
@@ -11,11 +12,20 @@
 
 
 class Row(NamedTuple):
-    """A row at a revision; ``value`` is None if the row was removed."""
+    """A version of a row, written at a revision; ``value`` is None if the row was removed.
+
+    ``as_of`` is the revision of a read from which it was inferred that the row was there in this
+    version, or with a ``value`` of None that this version was gone; 0 if nothing was inferred.
+    """
 
     key: RowKey
     value: bytes | None
     revision: int
+    as_of: int = 0
+
+    def is_inferred_removal(self) -> bool:
+        """Tell whether the row is taken for removed only because a read did not contain it."""
+        return self.value is None and self.as_of > 0
 
 
 class TableSnapshot(NamedTuple):
@@ -87,38 +97,45 @@
         """
 
 
+def merge_rows(known: Row, row: Row) -> Row:
+    """Return what is known of a row from two sources, in whatever order they are heard.
+
+    The newer version holds. Whether a version is still there is told by the later of two reads; a
+    read that did not contain an older version did not contain the newer one either, unless that
+    was written, or seen, after the read.
+    """
+    if known.revision == row.revision:
+        return row if row.as_of > known.as_of else known
+    older, newer = (known, row) if row.revision > known.revision else (row, known)
+    if older.is_inferred_removal() and older.as_of > max(newer.revision, newer.as_of):
+        return newer._replace(value=None, as_of=older.as_of)
+    return newer
+
+
 class RowCache:
     """The newest known version of each row, from the store or from other VMs.
 
     ``positions`` holds for each table the revision up to which rows were received. A read of the
     store can be stale and still state the newest revision: in a table in ``doubted``, changes up to
     the revision there may be missing.
-    ``inferred_removals`` are the rows considered removed because a snapshot did not contain them.
     ``history_starts`` holds for each table the revision after which every change is known. A
     snapshot does not tell which rows came and went before it, so the history starts there.
     """
 
     def __init__(self) -> None:
         self.rows: dict[RowKey, Row] = {}
-        self.inferred_removals: set[RowKey] = set()
         self.positions: dict[str, int] = {}
         self.doubted: dict[str, int] = {}
         self.history_starts: dict[str, int] = {}
 
-    def apply(self, row: Row) -> bool:
-        """Store a row if it is newer than the known one; return whether it was.
-
-        Only an inferred removal can have the revision of another version of its row, which then
-        was found to exist.
-        """
+    def apply(self, row: Row) -> list[Row]:
+        """Add what is known of a row; return it as known now if its version or presence changed."""
         known = self.rows.get(row.key)
-        if known is not None and known.revision >= row.revision:
-            found = known.value is None and row.value is not None
-            if known.revision > row.revision or not found:
-                return False
-        self.rows[row.key] = row
-        self.inferred_removals.discard(row.key)
-        return True
+        merged = row if known is None else merge_rows(known, row)
+        self.rows[row.key] = merged
+        if known is not None and (merged.revision, merged.value) == (known.revision, known.value):
+            return []
+        return [merged]
 
     def apply_snapshot(self, snapshot: TableSnapshot) -> list[Row]:
         """Apply a read of a table that may be stale; return the rows that changed.
@@ -129,13 +146,10 @@
         table, revision = snapshot.table, snapshot.revision
         if self.is_sure(table) and revision <= self.position(table):
             return []
-        changed = [row for row in snapshot.rows if self.apply(row)]
-        for row in snapshot.rows:
-            if row.key in self.inferred_removals and revision > self.rows[row.key].revision:
-                restored = row._replace(revision=revision)
-                self.apply(restored)
-                changed.append(restored)
-        changed += self._remove_missing(snapshot, revision, revision - 1)
+        changed = [item for row in snapshot.rows for item in self._apply_seen(row, revision)]
+        changed += self._remove_missing(
+            snapshot, revision, lambda known: max(known.revision, known.as_of) < revision
+        )
         if revision > self.position(table):
             self.history_starts[table] = revision
         self.advance_beside(table, revision, sure=False)
@@ -149,14 +163,10 @@
         table = snapshot.table
         if self.is_sure(table) and revision <= self.position(table):
             return []
-        changed = [row for row in snapshot.rows if self.apply(row)]
-        for row in snapshot.rows:
-            known = self.rows[row.key]
-            if known.value is None and known.revision <= revision:
-                restored = row._replace(revision=known.revision)
-                self.apply(restored)
-                changed.append(restored)
-        changed += self._remove_missing(snapshot, revision, revision)
+        changed = [item for row in snapshot.rows for item in self._apply_confirmed(row, revision)]
+        changed += self._remove_missing(
+            snapshot, revision, lambda known: known.revision <= revision
+        )
         if revision >= self.doubted.get(table, 0):
             self.doubted.pop(table, None)
         self.advance_position(table, revision)
@@ -191,7 +201,9 @@
     def rows_after(self, table: str, revision: int) -> list[Row]:
         """Return the rows of a table that changed after a revision, oldest first."""
         newer = [
-            row for row in self.rows.values() if row.key.table == table and row.revision > revision
+            row
+            for row in self.rows.values()
+            if row.key.table == table and max(row.revision, row.as_of) > revision
         ]
         return sorted(newer, key=lambda row: row.revision)
 
@@ -200,23 +212,42 @@
         rows = tuple(row for row in self.rows_after(table, 0) if row.value is not None)
         return TableSnapshot(table, rows, self.position(table))
 
+    def _apply_seen(self, row: Row, revision: int) -> list[Row]:
+        """Apply a row of a read at a revision; see apply."""
+        known = self.rows.get(row.key)
+        if known is not None and known.is_inferred_removal():
+            row = row._replace(as_of=max(row.as_of, revision))
+        return self.apply(row)
+
+    def _apply_confirmed(self, row: Row, revision: int) -> list[Row]:
+        """Apply a row of a table that has every change up to a revision; see apply."""
+        known = self.rows.get(row.key)
+        if (
+            known is not None
+            and known.is_inferred_removal()
+            and known.as_of <= revision
+            and known.revision <= row.revision
+        ):
+            self.rows[row.key] = row._replace(as_of=max(row.as_of, revision))
+            return [self.rows[row.key]]
+        return self._apply_seen(row, revision)
+
     def _remove_missing(
-        self, snapshot: TableSnapshot, revision: int, last_removed: int
+        self, snapshot: TableSnapshot, revision: int, must_be_there: Callable[[Row], bool]
     ) -> list[Row]:
-        """Remove the rows that a snapshot lacks, and return the removals.
+        """Take rows that a read at a revision lacks for removed, and return the removals.
 
-        They get a revision, and concern rows up to the revision ``last_removed``.
+        ``must_be_there`` tells of a row whether the read would contain it if it still existed.
         """
         present = {row.key for row in snapshot.rows}
         removals = [
-            Row(known.key, None, revision)
+            known._replace(value=None, as_of=max(known.as_of, revision))
             for known in self.rows.values()
             if known.key.table == snapshot.table
             and known.value is not None
             and known.key not in present
-            and known.revision <= last_removed
+            and must_be_there(known)
         ]
         for removed in removals:
             self.rows[removed.key] = removed
-            self.inferred_removals.add(removed.key)
         return removals
--- a/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/codec.py
@@ -75,6 +75,7 @@
                 "value": row.value or b"",
                 "removed": row.value is None,
                 "revision": row.revision,
+                "asOf": row.as_of,
             }
             for row in table_rows.rows
         ],
@@ -248,7 +249,7 @@
 
 def _decode_row(table: str, item: Any) -> Row:
     value = None if item.removed else bytes(item.value)
-    return Row(RowKey(table, item.key), value, item.revision)
+    return Row(RowKey(table, item.key), value, item.revision, item.asOf)
 
 
 def _check_protocol(version: int) -> None:
--- a/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/datagrams.capnp
@@ -118,4 +118,5 @@
   value @1 :Data;
   removed @2 :Bool;
   revision @3 :UInt64;
+  asOf @4 :UInt64;
 }
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -136,9 +136,14 @@
 
 
 def assert_rows_of_store(fleet, seed):
-    expected = {key.key for key in fleet.store.live_rows()}
+    expected = {key: row.value for key, row in fleet.store.live_rows().items()}
     for vm in fleet.vms:
-        assert server_ids(vm) == expected, (seed, vm.name, server_ids(vm), expected)
+        live = vm.live_rows(SERVERS)
+        assert live == expected, (seed, vm.name, live, expected)
+        vm.routing_state.remove_missing_servers(fleet.clock.now_ms())
+        used = {state.registration for state in vm.routing_state.servers.values()}
+        registered = {ROW_CODEC.decode_server(row) for row in fleet.store.live_rows().values()}
+        assert used == registered, (seed, vm.name, used ^ registered)
 
 
 @then("after {count:d} random orders of changes, reads, starts and fetches all VMs have its rows")
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -169,7 +169,8 @@
 
     def live_rows(self, table):
         rows = self.replicator.row_cache.rows.values()
-        return {row.key for row in rows if row.key.table == table and row.value is not None}
+        live = (row for row in rows if row.key.table == table and row.value is not None)
+        return {row.key: row.value for row in live}
 
 
 def make_positions_digest(source, positions, *, reading=True):
@@ -216,8 +217,9 @@
         self.sent_rows += len(table_rows.rows)
         return httpx.Response(200, content=encode_rows(table_rows))
 
-    def put_server(self, server_id):
-        self.store.put(RowKey(SERVERS, server_id), server_row(server_id, 0).value)
+    def put_server(self, server_id, value=0):
+        born = {"born": 1 + value}
+        self.store.put(RowKey(SERVERS, server_id), server_row(server_id, 0, **born).value)
 
     def remove_server(self, server_id):
         self.store.put(RowKey(SERVERS, server_id), None)
@@ -228,7 +230,7 @@
     vm, source = rng.sample(fleet.vms, 2)
     action = rng.randrange(actions)
     if action <= 1:
-        fleet.put_server(f"s{rng.randrange(6)}")
+        fleet.put_server(f"s{rng.randrange(6)}", rng.randrange(10**6))
     elif action == 2:
         fleet.remove_server(f"s{rng.randrange(6)}")
     elif action == 3:
