Follow a store that comes back from a copy, and keep what was acknowledged

Cause: a revision was compared as a plain number. Store-Era was read nowhere; the copy's revisions are lower, so each read and each change of it was taken for old.

Change: a revision has the era above the number (models/revisions.py), so all comparisons, positions, digests and fetches order eras without a change of the wire. The client refuses answers of an older era and pages of two; a long poll from an older era is a lost history. feeds/era_change.py decides what of the older era stays in use until a later read: a newer configuration, an evacuation, a server that drains or had left; configurations never go back. Servers that the copy lacks are kept as after an outage.

--- a/packages/berylbank-standins/src/berylbank_standins/_internal/row_store.py
+++ b/packages/berylbank-standins/src/berylbank_standins/_internal/row_store.py
@@ -10,6 +10,8 @@
 from berylbank_standins._internal.serving import read_body, send_response
 
 MAX_PAGE_ROWS = 500
+FIRST_ERA = 1
+ERA_HEADER = b"store-era"
 
 
 class StoredRow(NamedTuple):
@@ -34,14 +36,36 @@
     delay_ms: int = 0
 
 
+class StoreCopy(NamedTuple):
+    """The rows and their history as of a revision."""
+
+    rows: dict[tuple[str, str], StoredRow]
+    history: list[StoredRow]
+    revision: int
+    compacted_revision: int
+
+
 class RowStoreState:
-    """The rows and their history, without I/O."""
+    """The rows and their history, without I/O; ``era`` rises when a copy is restored."""
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.history: list[StoredRow] = []
         self.revision = 0
         self.compacted_revision = 0
+        self.era = FIRST_ERA
+
+    def copy(self) -> StoreCopy:
+        """Return a copy to go back to."""
+        return StoreCopy(
+            dict(self.rows), list(self.history), self.revision, self.compacted_revision
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; revisions after it are given out again, in the next era."""
+        self.rows, self.history = dict(copy.rows), list(copy.history)
+        self.revision, self.compacted_revision = copy.revision, copy.compacted_revision
+        self.era += 1
 
     def put(self, table: str, key: str, value: bytes | None) -> int:
         """Write one row, or remove it if ``value`` is None; return the new revision."""
@@ -71,8 +95,8 @@
         return sorted(matching_rows, key=lambda row: row.key)[:limit]
 
     def changes_after(self, table: str, revision: int) -> list[StoredRow] | None:
-        """Return the rows that changed after a revision, or None if that history is compacted."""
-        if revision < self.compacted_revision:
+        """Return the rows that changed after a revision, or None without a history from there."""
+        if not self.compacted_revision <= revision <= self.revision:
             return None
         return [row for row in self.history if row.table == table and row.revision > revision]
 
@@ -102,6 +126,11 @@
         value = None if document is None else json.dumps(document).encode()
         return self._announce_change(self.state.put(table, key, value))
 
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; long polls that wait end with 410."""
+        self.state.restore(copy)
+        self._announce_change(copy.revision)
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one HTTP request."""
         if scope["type"] != "http":
@@ -113,14 +142,19 @@
         if self.faults.silent:
             await anyio.sleep_forever()
         if self.faults.refuse:
-            await send_response(send, 503, b"{}")
+            await self._respond(send, 503, {})
             return
         query = {k: v[0] for k, v in parse_qs(scope["query_string"].decode()).items()}
         status, document = await self._dispatch(call_name, query, body)
         if call_name == "rows-tx" and status == 200 and self.faults.lose_answers:
             self.faults = self.faults._replace(lose_answers=self.faults.lose_answers - 1)
             return
-        await send_response(send, status, json.dumps(document).encode())
+        await self._respond(send, status, document)
+
+    async def _respond(self, send: Any, status: int, document: dict[str, Any]) -> None:
+        headers = [(ERA_HEADER, str(self.state.era).encode())]
+        body = json.dumps(document).encode()
+        await send_response(send, status, body, extra_headers=headers)
 
     async def _dispatch(
         self, call_name: str, query: dict[str, str], body: bytes
--- a/packages/berylbank-standins/src/berylbank_standins/_internal/serving.py
+++ b/packages/berylbank-standins/src/berylbank_standins/_internal/serving.py
@@ -1,6 +1,6 @@
 """Runs an ASGI application in hypercorn."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import anyio
@@ -34,12 +34,17 @@
 
 
 async def send_response(
-    send: Any, status: int, body: bytes, content_type: bytes = b"application/json"
+    send: Any,
+    status: int,
+    body: bytes,
+    content_type: bytes = b"application/json",
+    extra_headers: Sequence[tuple[bytes, bytes]] = (),
 ) -> None:
     """Send a complete response."""
     headers = [
         (b"content-type", content_type),
         (b"content-length", str(len(body)).encode()),
+        *extra_headers,
     ]
     await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": body})
--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -15,8 +15,10 @@
 from loguru import logger
 
 from berylbank._internal.utils.clock import Clock
+from berylbankd._internal.feeds.era_change import EraChange
 from berylbankd._internal.feeds.store_watch import StoreWatch
 from berylbankd._internal.models.deployment import Deployment
+from berylbankd._internal.models.revisions import describe_revision, era_of
 from berylbankd._internal.models.rows import (
     HistoryLostError,
     Row,
@@ -83,6 +85,10 @@
 # Registrations expire after three heartbeat intervals without a heartbeat, the first of which may
 # have begun before an outage of the store; an outage of fewer intervals than these expires none.
 MIN_OUTAGE_HEARTBEATS = 2
+# After the store came back from a copy its registrations are believed once those of servers that
+# had left have expired, which takes three heartbeat intervals.
+COPY_EXPIRY_HEARTBEATS = 3
+COPY_EXPIRY_MARGIN_MS = 1_000
 # A reader waits this long for its own long poll before it fetches newer rows from another VM.
 READER_FETCH_DELAY_S = 0.4
 
@@ -96,13 +102,15 @@
 class Doubt(NamedTuple):
     """Changes of a table up to a revision may be missing since ``made_ms``.
 
-    At ``due_ms`` the table is read again, unless another VM was sure of it by then.
+    At ``due_ms`` the table is read again, unless another VM was sure of it by then. A read from
+    ``settled_ms`` on decides.
     """
 
     table: str
     revision: int
     made_ms: int
     due_ms: int
+    settled_ms: int
 
 
 class RowReplicator:
@@ -133,8 +141,9 @@
         self.peer_port = peer_port
         self.on_change = on_change
         self.on_store_lost = on_store_lost
-        self.row_cache = RowCache()
+        self.row_cache = RowCache(EraChange(routing_state.row_codec))
         self.doubts: list[Doubt] = []
+        self.new_eras: set[tuple[str, int]] = set()
         self.store_available = True
         self.store_watch = StoreWatch()
         self.is_reader = self.may_read = False
@@ -261,9 +270,13 @@
                     if not self.row_cache.position(table):
                         await self._read_table(table)
                     await self._follow_changes(table)
-                except HistoryLostError:
+                except HistoryLostError as error:
                     logger.warning(
-                        "store has compacted the history of table {}; reading the full table", table
+                        "store has no history of table {} from revision {} on: {}; reading the full"
+                        " table",
+                        table,
+                        describe_revision(self.row_cache.position(table)),
+                        error.reason,
                     )
                     if self.row_cache.position(table) == lost_revision:
                         await anyio.sleep(LOST_HISTORY_PAUSE_S)
@@ -309,8 +322,16 @@
             for doubt in due:
                 self._postpone(doubt, now_ms + REREAD_RETRY_MS)
             return
+        era = era_of(self.row_cache.position(table))
+        if era_of(snapshot.revision) > era:
+            self._apply_read(snapshot, EARLY_REREAD_MS)
+            return
+        if era_of(snapshot.revision) < era:
+            for doubt in due:
+                self._postpone(doubt, now_ms + REREAD_RETRY_MS)
+            return
         self._set_store_available(True, "", snapshot.store_time_ms)
-        settled = [item for item in due if now_ms - item.made_ms >= STALE_READ_MS]
+        settled = [item for item in due if now_ms >= item.settled_ms]
         if settled:
             changed = self.row_cache.confirm(snapshot, max(item.revision for item in settled))
         else:
@@ -321,7 +342,7 @@
             if doubt in settled:
                 self.doubts.remove(doubt)
             else:
-                self._postpone(doubt, doubt.made_ms + STALE_READ_MS)
+                self._postpone(doubt, doubt.settled_ms)
         self._log_read(snapshot, len(changed), "again")
         self._report_changes(changed, "repeated read", self.clock.now_ms())
 
@@ -332,9 +353,57 @@
     def _record_doubt(self, table: str, delay_ms: int) -> None:
         """Have a table read again after some time if changes of it may be missing."""
         revision, now_ms = self.row_cache.doubted.get(table), self.clock.now_ms()
-        known = {(item.table, item.revision) for item in self.doubts}
-        if revision is not None and (table, revision) not in known:
-            self.doubts.append(Doubt(table, revision, now_ms, now_ms + delay_ms))
+        if revision is None or (table, revision) in {item[:2] for item in self.doubts}:
+            return
+        settle_ms = STALE_READ_MS
+        if (table, era_of(revision)) in self.new_eras:
+            settle_ms = max(settle_ms, self._copy_expiry_ms(table))
+        self.doubts.append(Doubt(table, revision, now_ms, now_ms + delay_ms, now_ms + settle_ms))
+
+    def _copy_expiry_ms(self, table: str) -> int:
+        """Return how long the copy of a table may hold rows whose writers are gone."""
+        if table != self.routing_state.row_codec.servers_table:
+            return 0
+        heartbeat_ms = self.membership.deployment.heartbeat_ms
+        return COPY_EXPIRY_HEARTBEATS * heartbeat_ms + COPY_EXPIRY_MARGIN_MS
+
+    def _note_era(self, table: str, revision: int) -> None:
+        """Prepare for rows of a new era, if a revision is the first of one in a table."""
+        era, known_era = era_of(revision), era_of(self.row_cache.position(table))
+        if not self.row_cache.position(table) or era <= known_era:
+            return
+        self.new_eras.add((table, era))
+        # What was in doubt in the older era will not be answered any more.
+        self.doubts = [item for item in self.doubts if item.table != table]
+        if table == self.routing_state.row_codec.servers_table:
+            self.routing_state.removal_grace_until_ms = self.clock.now_ms() + REMOVAL_GRACE_MS
+        logger.warning(
+            "store came back from a copy: table {} is in era {} after {}, position {} after {};"
+            " rows that the copy lacks or has in an older state are checked again later",
+            table,
+            era,
+            known_era,
+            describe_revision(revision),
+            describe_revision(self.row_cache.position(table)),
+        )
+
+    def _log_kept(self, table: str, revision: int) -> None:
+        """Log how many rows of an older era a new one's first read has left in use."""
+        kept = [
+            row.key.key
+            for row in self.row_cache.rows.values()
+            if row.key.table == table
+            and row.value is not None
+            and era_of(max(row.revision, row.as_of)) < era_of(revision)
+        ]
+        if kept:
+            logger.info(
+                "table {}: {} rows of an older era are kept until the table is read again, such as"
+                " {}",
+                table,
+                len(kept),
+                kept[0],
+            )
 
     async def _follow_changes(self, table: str) -> None:
         """Apply changed rows of a table by long polls until one fails."""
@@ -351,11 +420,16 @@
 
     async def _read_table(self, table: str, reread_ms: int = STALE_READ_MS) -> None:
         """Read a table, and have it read again after some time, as the read may be stale."""
-        snapshot = await self.store.read_table(table)
+        self._apply_read(await self.store.read_table(table), reread_ms)
+
+    def _apply_read(self, snapshot: TableSnapshot, reread_ms: int) -> None:
+        table = snapshot.table
         self._set_store_available(True, "", snapshot.store_time_ms)
+        self._note_era(table, snapshot.revision)
         changed = self.row_cache.apply_snapshot(snapshot)
         self._record_doubt(table, reread_ms)
         self._log_read(snapshot, len(changed), "")
+        self._log_kept(table, snapshot.revision)
         self._report_changes(changed, "read", self.clock.now_ms())
 
     def _log_read(self, snapshot: TableSnapshot, changed: int, again: str) -> None:
@@ -365,10 +439,10 @@
             snapshot.table,
             again,
             len(snapshot.rows),
-            max((row.revision for row in snapshot.rows), default=0),
-            snapshot.revision,
+            describe_revision(max((row.revision for row in snapshot.rows), default=0)),
+            describe_revision(snapshot.revision),
             changed,
-            self.row_cache.position(snapshot.table),
+            describe_revision(self.row_cache.position(snapshot.table)),
             self.row_cache.is_sure(snapshot.table),
         )
 
@@ -437,8 +511,8 @@
             table,
             vm,
             len(fetched.rows),
-            request.after,
-            fetched.position,
+            describe_revision(request.after),
+            describe_revision(fetched.position),
             fetched.sure,
             fetched.complete,
         )
@@ -446,6 +520,7 @@
         if fetched.position < cache.position(table):
             # Rows that were removed since then may be unknown here, and would be added again.
             return
+        self._note_era(table, fetched.position)
         if fetched.complete:
             snapshot = TableSnapshot(table, fetched.rows, fetched.position)
             if fetched.sure:
@@ -482,7 +557,7 @@
             logger.info(
                 "no VM returned table {} up to revision {} yet; reading the store",
                 table,
-                wanted.revision,
+                describe_revision(wanted.revision),
             )
             try:
                 await self._read_table(table)
--- a/packages/berylbankd/src/berylbankd/_internal/models/rows.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/rows.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from berylbankd._internal.models.revisions import era_of, number_of
+
 
 class RowKey(NamedTuple):
     """The table and key of a row."""
@@ -77,7 +79,12 @@
 
 
 class RowStore(Protocol):
-    """The operations used of the platform's store; each may raise :class:`StoreError`."""
+    """The operations used of the platform's store; each may raise :class:`StoreError`.
+
+    ``era`` is the newest era that an answer named, 0 if none did.
+    """
+
+    era: int
 
     async def read_table(self, table: str) -> TableSnapshot:
         """Read a whole table."""
@@ -85,7 +92,8 @@
     async def wait_for_changes(self, table: str, after_revision: int, wait_ms: int) -> FeedBatch:
         """Wait for rows changed after a revision, at most ``wait_ms``.
 
-        :raises HistoryLostError: if the store no longer has all changes since that revision.
+        :raises HistoryLostError: if the store no longer has all changes since that revision, or is
+            in a newer era.
         """
 
     async def write(self, key: RowKey, value: bytes, expected_revision: int) -> int:
@@ -93,10 +101,18 @@
 
         An expected revision of 0 means that the row must not exist.
 
-        :raises ConditionFailedError: if the row has another revision.
+        :raises ConditionFailedError: if the row has another revision, or the expected one is of
+            an older era.
         """
 
 
+class EraPolicy(Protocol):
+    """Decides what stays in use when the store begins a new era with a copy."""
+
+    def keeps(self, known: Row, read: Row | None) -> bool:
+        """Tell whether the known version stays; ``read`` is None if the copy lacks the row."""
+
+
 def merge_rows(known: Row, row: Row) -> Row:
     """Return what is known of a row from two sources, in whatever order they are heard.
 
@@ -120,9 +136,11 @@
     the revision there may be missing.
     ``history_starts`` holds for each table the revision after which every change is known. A
     snapshot does not tell which rows came and went before it, so the history starts there.
+    The first reads of a new era leave the rows alone that ``era_policy`` keeps, if it is set.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, era_policy: EraPolicy | None = None) -> None:
+        self.era_policy = era_policy
         self.rows: dict[RowKey, Row] = {}
         self.positions: dict[str, int] = {}
         self.doubted: dict[str, int] = {}
@@ -144,11 +162,15 @@
         removal was inferred is restored if a later snapshot contains it.
         """
         table, revision = snapshot.table, snapshot.revision
-        if self.is_sure(table) and revision <= self.position(table):
+        if self._is_known(table, revision):
             return []
-        changed = [item for row in snapshot.rows for item in self._apply_seen(row, revision)]
+        rows = [row for row in snapshot.rows if not self._stays(row.key, row, row.revision)]
+        changed = [item for row in rows for item in self._apply_seen(row, revision)]
         changed += self._remove_missing(
-            snapshot, revision, lambda known: max(known.revision, known.as_of) < revision
+            snapshot,
+            revision,
+            lambda known: max(known.revision, known.as_of) < revision
+            and not self._stays(known.key, None, revision),
         )
         if revision > self.position(table):
             self.history_starts[table] = revision
@@ -161,7 +183,7 @@
         It may lack some changes after that, as the snapshot can be stale itself.
         """
         table = snapshot.table
-        if self.is_sure(table) and revision <= self.position(table):
+        if self._is_known(table, revision):
             return []
         changed = [item for row in snapshot.rows for item in self._apply_confirmed(row, revision)]
         changed += self._remove_missing(
@@ -212,6 +234,27 @@
         rows = tuple(row for row in self.rows_after(table, 0) if row.value is not None)
         return TableSnapshot(table, rows, self.position(table))
 
+    def _is_known(self, table: str, revision: int) -> bool:
+        """Tell whether a read up to a revision can bring nothing new."""
+        position = self.position(table)
+        if era_of(revision) < era_of(position):
+            return True
+        return self.is_sure(table) and revision <= position
+
+    def _stays(self, key: RowKey, read: Row | None, revision: int) -> bool:
+        """Tell whether the known version of a row stays beside a read of a new era's copy."""
+        known = self.rows.get(key)
+        if known is None or self.era_policy is None:
+            return False
+        known_revision = max(known.revision, known.as_of)
+        if era_of(known_revision) >= era_of(revision):
+            return False
+        if read is not None and number_of(revision) > number_of(known_revision):
+            # The known version is older than the copy, or this one was written after it.
+            return False
+        unchanged = known.value == (read.value if read is not None else None)
+        return not unchanged and self.era_policy.keeps(known, read)
+
     def _apply_seen(self, row: Row, revision: int) -> list[Row]:
         """Apply a row of a read at a revision; see apply."""
         known = self.rows.get(row.key)
--- a/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from berylbank._internal.exceptions import ProtocolError
+from berylbankd._internal.models.revisions import describe_revision
 from berylbankd._internal.peers.codec import decode_datagram, decode_rows, encode_datagram
 from berylbankd._internal.peers.messages import (
     Datagram,
@@ -157,7 +158,7 @@
         logger.info(
             "rows of table {} after revision {} could not be fetched from VM at {}: {}",
             request.table,
-            request.after,
+            describe_revision(request.after),
             host,
             type(error).__name__,
         )
--- a/packages/berylbankd/src/berylbankd/_internal/platform/names.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/names.py
@@ -29,3 +29,5 @@
 LIMIT_HEADER = b"server-limit"
 LEAVING_HEADER = b"server-leaving"
 NOT_EXECUTED_HEADER = b"x-not-executed"
+# In each answer of the store: a number that rises when the store comes back from a copy.
+ERA_HEADER = "store-era"
--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from berylbankd._internal.models.revisions import describe_revision
 from berylbankd._internal.models.rows import Row, RowKey
 from berylbankd._internal.models.types import (
     BackendServer,
@@ -135,7 +136,7 @@
                     "row {} of table {} at revision {} could not be applied; it is tried again: {}",
                     row.key.key,
                     row.key.table,
-                    row.revision,
+                    describe_revision(row.revision),
                     describe_error(error),
                 )
 
@@ -200,7 +201,7 @@
                 state.registration.id,
                 now_ms - departure.known_ms,
                 departure.source,
-                departure.revision,
+                describe_revision(departure.revision),
                 last_sent_ms - departure.known_ms,
             )
         return delays_ms
@@ -263,7 +264,16 @@
         if configuration is None:
             logger.error(
                 "configuration at revision {} cannot be decoded; keeping the previous one",
-                row.revision,
+                describe_revision(row.revision),
+            )
+            return
+        if self.configuration is not None and configuration.version < self.configuration.version:
+            # Only a store that came back from a copy goes back; operators write theirs again.
+            logger.warning(
+                "configuration {} at revision {} is older than {}, which stays in use",
+                configuration.version,
+                describe_revision(row.revision),
+                self.configuration.version,
             )
             return
         self.configuration = configuration
@@ -277,7 +287,11 @@
         }
         logger.bind(
             rates={item.name: [item.rate_per_s, item.burst] for item in configuration.organisations}
-        ).info("configuration {} applied, revision {}", configuration.version, row.revision)
+        ).info(
+            "configuration {} applied, revision {}",
+            configuration.version,
+            describe_revision(row.revision),
+        )
 
     def _apply_server(self, row: Row, now_ms: int, source: str) -> None:
         registration = self.row_codec.decode_server(row)
@@ -297,15 +311,17 @@
                 registration.address,
                 registration.draining,
                 registration.warmup_left_ms,
-                row.revision,
+                describe_revision(row.revision),
             )
             return
+        if registration == known.registration and not known.missing:
+            return
         if registration.draining != known.registration.draining:
             logger.info(
                 "backend server {}: draining is now {}, revision {} from {}",
                 registration.id,
                 registration.draining,
-                row.revision,
+                describe_revision(row.revision),
                 source,
             )
         known.update_registration(registration, now_ms)
@@ -326,12 +342,15 @@
                 "backend server {} has no registration since revision {} from {}; it is kept, as"
                 " the store was away",
                 row.key.key,
-                row.revision,
+                describe_revision(row.revision),
                 source,
             )
             return
         logger.info(
-            "backend server {} removed, revision {} from {}", row.key.key, row.revision, source
+            "backend server {} removed, revision {} from {}",
+            row.key.key,
+            describe_revision(row.revision),
+            source,
         )
         del self.servers[row.key.key]
 
@@ -346,7 +365,9 @@
         if evacuated_now is not None:
             self.evacuated_domains[row.key] = evacuated_now
             logger.info(
-                "evacuation of failure domain {} started, revision {}", evacuated_now, row.revision
+                "evacuation of failure domain {} started, revision {}",
+                evacuated_now,
+                describe_revision(row.revision),
             )
             return
         if evacuated_before is not None:
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -158,9 +158,20 @@
     " rows"
 )
 def step_stale_orders(context, count, which):
-    states_newest = which == "the newest"
+    check_stale_orders(count, states_newest=which == "the newest")
+
+
+@then(
+    "after {count:d} random orders in which stale reads state {which} revision and the store goes"
+    " back to copies all VMs have its rows"
+)
+def step_copy_orders(context, count, which):
+    check_stale_orders(count, states_newest=which == "the newest", going_back=True)
+
+
+def check_stale_orders(count, **options):
     for seed in range(count):
-        fleet = anyio.run(partial(run_stale_reads, states_newest=states_newest), seed, 40)
+        fleet = anyio.run(partial(run_stale_reads, **options), seed, 40)
         assert_rows_of_store(fleet, seed)
 
 
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -6,6 +6,7 @@
 import httpx
 
 from berylbankd._internal.feeds.row_replicator import RowReplicator
+from berylbankd._internal.models.revisions import era_of, make_revision, number_of
 from berylbankd._internal.models.rows import (
     FeedBatch,
     HistoryLostError,
@@ -34,6 +35,8 @@
 MAX_STALE_MS = 3_000
 SETTLE_MS = 15_000
 STEP_MS = 250
+GO_BACK_SHARE = 0.08
+MAX_LOST_CHANGES = 8
 
 
 class FixedClock:
@@ -50,7 +53,7 @@
     """A store that keeps every change, so that it can be read and followed.
 
     Reads show the rows as of ``stale_ms`` ago. They state the revision of that time, or with
-    ``states_newest`` the newest one.
+    ``states_newest`` the newest one. ``go_back`` starts the next era with a copy.
     """
 
     def __init__(self, clock):
@@ -58,14 +61,29 @@
         self.stale_ms = 0
         self.states_newest = True
         self.change_times_ms = []
-        self.revision = 0
+        self.era = self.number = 0
         self.changes = []
         self.reads = 0
         self.followed = {}
         self.lost_revision = 0
 
+    @property
+    def revision(self):
+        return make_revision(self.era, self.number)
+
+    def go_back(self, lost):
+        """Lose the last changes; what is left has its numbers in the next era."""
+        self.era += 1
+        kept = len(self.changes) - lost
+        self.number -= lost
+        self.changes = [
+            row._replace(revision=make_revision(self.era, number_of(row.revision)))
+            for row in self.changes[:kept]
+        ]
+        self.change_times_ms = self.change_times_ms[:kept]
+
     def put(self, key, value):
-        self.revision += 1
+        self.number += 1
         self.changes.append(Row(key, value, self.revision))
         self.change_times_ms.append(self.clock.now_ms())
 
@@ -81,12 +99,12 @@
         rows = tuple(row for row in live if row.key.table == table)
         shown_ms = self.clock.now_ms() - self.stale_ms
         shown = sum(changed_ms <= shown_ms for changed_ms in self.change_times_ms)
-        revision = self.revision if self.states_newest else shown
+        revision = self.revision if self.states_newest else make_revision(self.era, shown)
         return TableSnapshot(table, rows, revision, self.clock.now_ms())
 
     async def wait_for_changes(self, table, after_revision, wait_ms):
         self.followed[table] = self.followed.get(table, 0) + 1
-        if after_revision < self.lost_revision:
+        if after_revision < self.lost_revision or era_of(after_revision) != self.era:
             raise HistoryLostError("history compacted")
         await anyio.sleep(0.1)
         return self.batch_after(table, after_revision)
@@ -109,6 +127,10 @@
         self.fleet = fleet
         self.turned_away = False
 
+    @property
+    def era(self):
+        return self.fleet.store.era
+
     def check(self):
         if self.turned_away or self.fleet.store_away:
             raise StoreError("ReadTimeout")
@@ -157,6 +179,13 @@
         replicator.apply_rows(batch.rows, "feed")
         replicator.row_cache.advance_position(table, batch.revision)
 
+    async def follow_or_read(self, table):
+        """Follow a table, or read it if the store is in a newer era than the rows known here."""
+        if era_of(self.replicator.row_cache.position(table)) == self.fleet.store.era:
+            self.follow(table)
+        else:
+            await self.replicator._read_after_loss(table)
+
     async def fetch(self, source, table):
         """Fetch newer rows from one other VM, whose digest has just arrived."""
         revision = source.replicator.row_cache.position(table)
@@ -225,8 +254,10 @@
         self.store.put(RowKey(SERVERS, server_id), None)
 
 
-async def take_random_step(fleet, rng, actions, read):
+async def take_random_step(fleet, rng, actions, read, going_back=False):
     """Change the store, or let a VM read, follow or fetch; ``actions`` weighs the reads."""
+    if going_back and fleet.store.changes and rng.random() < GO_BACK_SHARE:
+        fleet.store.go_back(rng.randrange(1 + min(MAX_LOST_CHANGES, len(fleet.store.changes))))
     vm, source = rng.sample(fleet.vms, 2)
     action = rng.randrange(actions)
     if action <= 1:
@@ -236,7 +267,7 @@
     elif action == 3:
         await vm.fetch(source, SERVERS)
     elif action == 4:
-        vm.follow(SERVERS)
+        await vm.follow_or_read(SERVERS)
     elif rng.random() < 0.5:
         await read(vm)
     else:
@@ -262,9 +293,10 @@
     return fleet
 
 
-async def run_stale_reads(seed, steps, *, states_newest):
+async def run_stale_reads(seed, steps, *, states_newest, going_back=False):
     """Change a store whose reads can be stale, and copy its rows; return the fleet when settled.
 
+    With ``going_back`` the store goes back to a copy at times.
     VMs start, read, follow and fetch in a random order, each as it would in its tasks.
     """
     rng = random.Random(seed)
@@ -285,11 +317,11 @@
         await read(vm)
     for _ in range(steps):
         fleet.clock.time_ms += rng.randrange(2 * STEP_MS)
-        await take_random_step(fleet, rng, 7, read)
+        await take_random_step(fleet, rng, 7, read, going_back)
         await repeat_reads()
     for _ in range(SETTLE_MS // STEP_MS):
         fleet.clock.time_ms += STEP_MS
-        fleet.vms[0].follow(SERVERS)
+        await fleet.vms[0].follow_or_read(SERVERS)
         await repeat_reads()
         rng.shuffle(fleet.vms)
         for source, vm in zip(fleet.vms, fleet.vms[1:], strict=False):
--- a/tests/unit/feeds/replication.feature
+++ b/tests/unit/feeds/replication.feature
@@ -32,6 +32,14 @@
       | their own  |
       | the newest |
 
+  Scenario Outline: VMs end with the rows of a store that goes back to copies, where reads state <revision> revision
+    Then after 200 random orders in which stale reads state <revision> revision and the store goes back to copies all VMs have its rows
+
+    Examples:
+      | revision   |
+      | their own  |
+      | the newest |
+
   Scenario Outline: a removal that a stale read missed is not lost, where the read was <occasion>
     Given a VM that knows backend servers "s0" and "s1"
     When server "s1" is removed, and another VM's <occasion> shows the rows of 3 s ago at the newest revision
--- a/tools/departure_ages.py
+++ b/tools/departure_ages.py
@@ -15,7 +15,7 @@
 
 JSON_LINE = re.compile(r"\{.*\}")
 DEPARTED = re.compile(
-    r"backend server (\S+) departed: known (\d+) ms ago from (.+), revision (\d+);"
+    r"backend server (\S+) departed: known (\d+) ms ago from (.+), revision ([\d.]+);"
     r" the last request was sent to it (-?\d+) ms after that"
 )
 
