Keep a release over a change of era, and write its state again

What operators would see: the store comes back from a copy, with a release order under another revision: a release that had been rolled back starts anew, with the bad version; its state, which the copy lacks, is never written again.

Cause: an order was identified by its revision, and a state that was known was taken for one that is in the store. A condition of an older era could hold by chance where its number is given out again.

Change: an order that is written again in a new era, with the same content, is the same release, known by its new revision; for 3 s after that it does not go on, as VMs may not understand each other's reports. A state that a read of the new era lacks is forgotten, so its driver writes it again; a write under a condition of an older era fails (in the client, already in place).

--- a/packages/berylbankd/src/berylbankd/_internal/models/types.py
+++ b/packages/berylbankd/src/berylbankd/_internal/models/types.py
@@ -3,6 +3,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from berylbankd._internal.models.revisions import era_of
+
 ANYWHERE: frozenset[str] = frozenset()
 
 
@@ -140,6 +142,15 @@
     duration_ms: int
     revision: int
 
+    def is_same(self, other: "ReleaseOrder") -> bool:
+        """Tell whether two rows hold one order: the same row, or one that was written again.
+
+        Orders are written again after the store came back from a copy.
+        """
+        if era_of(self.revision) == era_of(other.revision):
+            return self.revision == other.revision
+        return self._replace(revision=0) == other._replace(revision=0)
+
 
 class ReleaseState(StrEnum):
     """The state of a release, as shown to operators."""
--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -49,6 +49,9 @@
 # count, so that neither chance nor a few early responses decide.
 REGRESSION_DEVIATIONS = 3.0
 MIN_EXCESS_RESPONSES = 2.0
+# How long VMs may know an order by two revisions after the store came back from a copy, so that
+# they do not understand each other's reports.
+ORDER_SPREAD_MS = 3_000
 # Weight of the latest response in the mean latency of the old version.
 LATENCY_WEIGHT = 0.1
 # A response is slow if it exceeds this multiple of the old version's mean latency on its route, and
@@ -77,7 +80,8 @@
 class Release:
     """The progress of one release order as this VM sees it.
 
-    ``service_ms`` is the mean time to serve a request of the service.
+    ``service_ms`` is the mean time to serve a request of the service. The order is known by its
+    present revision since ``adopted_ms``.
     """
 
     def __init__(self, order: ReleaseOrder, bounds: Bounds, now_ms: int) -> None:
@@ -92,6 +96,12 @@
         self.old_in_flight = 0
         self.route_counts: dict[str, RouteCounts] = {}
         self.service_ms = 0.0
+        self.adopted_ms = now_ms - ORDER_SPREAD_MS
+
+    def adopt_order(self, order: ReleaseOrder, now_ms: int) -> None:
+        """Know the order by another revision, under which it was written again."""
+        if order.revision != self.order.revision:
+            self.order, self.adopted_ms = order, now_ms
 
     def elapsed_ms(self, now_ms: int) -> int:
         """Return the time since the first VM learned of the order."""
@@ -206,6 +216,8 @@
         """Move to the next step if it is due, on the driving VM; return whether it was due."""
         if self.rolled_back or self.succeeded or self.step == LAST_STEP:
             return False
+        if now_ms - self.adopted_ms < ORDER_SPREAD_MS:
+            return False
         elapsed_ms, duration_ms = self.elapsed_ms(now_ms), self.order.duration_ms
         if self.step == 0:
             responses = sum(
@@ -230,6 +242,8 @@
             return False
         if now_ms - self.step_started_ms < FULL_SHARE_HOLD_MS:
             return False
+        if now_ms - self.adopted_ms < ORDER_SPREAD_MS:
+            return False
         reports_on_old_version = [
             report for report in reports if report.lowest_step < LAST_STEP or report.old_in_flight
         ]
--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -392,3 +392,8 @@
         status = self.row_codec.decode_status(row)
         if status is not None:
             self.statuses[status.service] = StatusRow(status, row.revision)
+        elif row.value is None:
+            # The store came back from a copy without it.
+            gone = [name for name in self.statuses if self.row_codec.status_key(name) == row.key]
+            for service in gone:
+                del self.statuses[service]
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -352,9 +352,10 @@
         """Start releases that were ordered, and apply outcomes already written to the store."""
         for service, order in self.routing_state.orders.items():
             release = self.releases.get(service)
-            if release is None or release.order.revision != order.revision:
+            if release is None or not release.order.is_same(order):
                 release = Release(order, self.deployment.bounds, now_ms)
                 self.releases[service] = release
+            release.adopt_order(order, now_ms)
             release.service_ms = self.expected_service_ms(service)
             status_row = self.routing_state.statuses.get(service)
             # A status row older than the order belongs to an earlier release.
--- a/tests/steps/era_change_steps.py
+++ b/tests/steps/era_change_steps.py
@@ -10,15 +10,23 @@
 from steering_fleet import API_KEY, make_configuration
 
 from berylbank_standins._internal.row_store import StandInRowStore
+from berylbankd._internal.feeds import registry as registry_module
+from berylbankd._internal.feeds.registry import VmRegistry
+from berylbankd._internal.feeds.release_driver import ReleaseDriver
 from berylbankd._internal.models.revisions import era_of, make_revision
 from berylbankd._internal.models.rows import ConditionFailedError, RowKey, StoreError
+from berylbankd._internal.models.types import ReleaseState
 from berylbankd._internal.platform.store import HttpRowStore
+from berylbankd._internal.steering.releases import LAST_STEP
+from berylbankd._internal.steering.steering import Steering
 from tests.support.replication import ORDERS, SERVERS, ReplicatingFleet
-from tests.support.steering import ROW_CODEC, server_row
+from tests.support.steering import ROW_CODEC, make_deployment, server_row
 
 STEP_MS = 250
 EVACUATION = RowKey(ORDERS, "evacuate/b")
+ORDER_KEY = RowKey(ORDERS, "rollout/desk")
 TABLE = "t"
+CHECK_INTERVAL_S = 0.01
 ROW_KEY = RowKey(TABLE, "a")
 
 
@@ -328,3 +336,141 @@
 @then("the condition fails")
 def step_condition(context):
     assert isinstance(context.failure, ConditionFailedError)
+
+
+# Releases
+
+
+@given("a VM that drives a release which was rolled back")
+def step_rolled_back(context):
+    start_release(context)
+    context.release.rolled_back = True
+    write_state(context)
+    assert read_state(context).state is ReleaseState.ROLLED_BACK
+
+
+@given("a VM that drives a release whose last step has lasted long enough")
+def step_last_step(context):
+    start_release(context)
+    context.release.step = LAST_STEP
+    write_state(context)
+    context.fleet.clock.time_ms += 5_000
+    assert context.release.is_complete([], context.fleet.clock.now_ms())
+
+
+def start_release(context):
+    context.fleet = fleet = ReplicatingFleet(1)
+    (vm,) = fleet.vms
+    context.steering = Steering(make_deployment(vm.name), ROW_CODEC, 1, fleet.clock.now_ms())
+    context.steering.routing_state = vm.routing_state
+    context.driver = ReleaseDriver(context.steering, vm.replicator, vm.store, fleet.clock)
+    put_configuration(fleet, 1)
+    anyio.run(vm.read, ORDERS)
+    put_order(fleet)
+    follow_orders(context)
+
+
+def put_order(fleet):
+    order = {"service": "desk", "to": "v2", "durationS": 60}
+    fleet.store.put(ORDER_KEY, json.dumps(order).encode())
+
+
+def follow_orders(context):
+    anyio.run(context.fleet.vms[0].follow_or_read, ORDERS)
+    context.steering.sync_releases(context.fleet.clock.now_ms())
+    context.release = context.steering.releases["desk"]
+
+
+def write_state(context):
+    anyio.run(context.driver._write_state, context.release, context.release.state())
+
+
+def read_state(context):
+    row = context.fleet.store.live_rows().get(ROW_CODEC.status_key("desk"))
+    return ROW_CODEC.decode_status(row) if row is not None else None
+
+
+@when("the store comes back from a copy {how} its order and without its state")
+def step_lose_state(context, how):
+    context.fleet.store.go_back(1 if how == "with" else 2)
+    follow_orders(context)
+    if how == "without":
+        put_configuration(context.fleet, 2)
+        put_order(context.fleet)
+        follow_orders(context)
+
+
+@then("the release is still rolled back, and known by the order's new revision")
+def step_still_rolled_back(context):
+    assert context.release.rolled_back
+    assert context.release.order.revision == context.fleet.store.live_rows()[ORDER_KEY].revision
+
+
+@then("its state is written again")
+def step_state_again(context):
+    assert read_state(context) is None
+    for _ in range(2):
+        write_state(context)
+    assert read_state(context).state is ReleaseState.ROLLED_BACK
+
+
+@when("operators order the same version again")
+def step_order_again(context):
+    put_order(context.fleet)
+    follow_orders(context)
+
+
+@then("the release is not rolled back")
+def step_not_rolled_back(context):
+    assert not context.release.rolled_back
+
+
+@then("the release is complete only {ms:d} ms later")
+def step_complete_later(context, ms):
+    now_ms = context.fleet.clock.now_ms()
+    assert not context.release.is_complete([], now_ms + ms - 1)
+    assert context.release.is_complete([], now_ms + ms)
+
+
+# Registration
+
+
+@given("a reader that has registered with the store")
+def step_reader(context):
+    context.fleet = ReplicatingFleet(1)
+    put_configuration(context.fleet, 1)
+
+
+@when("the store comes back from a copy without its row")
+def step_lose_row(context):
+    (vm,) = context.fleet.vms
+    store = context.fleet.store
+    key = RowKey(ROW_CODEC.vms_table, vm.name)
+    registry = VmRegistry(vm.store, vm.membership, key.table, lambda: True)
+
+    async def wait_for_row():
+        with anyio.fail_after(5):
+            while key not in store.live_rows():
+                await anyio.sleep(CHECK_INTERVAL_S)
+
+    async def register():
+        async with anyio.create_task_group() as group:
+            group.start_soon(registry._register_while_reader)
+            await wait_for_row()
+            store.go_back(1)
+            assert key not in store.live_rows()
+            await wait_for_row()
+            group.cancel_scope.cancel()
+
+    interval_s = registry_module.READER_CHECK_INTERVAL_S
+    registry_module.READER_CHECK_INTERVAL_S = CHECK_INTERVAL_S
+    try:
+        anyio.run(register)
+    finally:
+        registry_module.READER_CHECK_INTERVAL_S = interval_s
+
+
+@then("its row is in the store again")
+def step_registered_again(context):
+    (vm,) = context.fleet.vms
+    assert RowKey(ROW_CODEC.vms_table, vm.name) in context.fleet.store.live_rows()
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -645,6 +645,7 @@
     """An in-memory table of VMs with conditional writes, in place of the store."""
 
     def __init__(self):
+        self.era = 0
         self.rows = {}
         self.calls = 0
 
--- a/tests/support/replication.py
+++ b/tests/support/replication.py
@@ -8,6 +8,7 @@
 from berylbankd._internal.feeds.row_replicator import RowReplicator
 from berylbankd._internal.models.revisions import era_of, make_revision, number_of
 from berylbankd._internal.models.rows import (
+    ConditionFailedError,
     FeedBatch,
     HistoryLostError,
     Row,
@@ -110,7 +111,9 @@
         return self.batch_after(table, after_revision)
 
     async def write(self, key, value, expected_revision):
-        assert self.live_rows().get(key, Row(key, None, 0)).revision == expected_revision
+        current = self.live_rows().get(key)
+        if (current.revision if current is not None else 0) != expected_revision:
+            raise ConditionFailedError(current)
         self.put(key, value)
         return self.revision
 
--- a/tests/unit/feeds/era_change.feature
+++ b/tests/unit/feeds/era_change.feature
@@ -58,3 +58,25 @@
       | when                                      |
       | it knows of the new era                   |
       | the write tells it of the new era         |
+
+  Scenario Outline: a release that was rolled back is not resumed, where its order is <how>
+    Given a VM that drives a release which was rolled back
+    When the store comes back from a copy <how> its order and without its state
+    Then the release is still rolled back, and known by the order's new revision
+    And its state is written again
+
+    Examples:
+      | how     |
+      | with    |
+      | without |
+
+  Scenario: another order for the same version is a release of its own
+    Given a VM that drives a release which was rolled back
+    When the store comes back from a copy with its order and without its state
+    And operators order the same version again
+    Then the release is not rolled back
+
+  Scenario: a release does not go on while VMs may know its order by two revisions
+    Given a VM that drives a release whose last step has lasted long enough
+    When the store comes back from a copy with its order and without its state
+    Then the release is complete only 3000 ms later
