Register again with a store that came back from a copy

A VM that starts finds the others by the rows of the readers. After a copy these rows may be missing, and a reader wrote its row again only when the number of VMs changed. It now does so in each era. unit/feeds/era_change, 'registers again', fails without the change.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/registry.py
@@ -13,6 +13,7 @@
 import anyio
 from loguru import logger
 
+from berylbankd._internal.models.revisions import era_of
 from berylbankd._internal.models.rows import (
     ConditionFailedError,
     Row,
@@ -81,7 +82,8 @@
                 await self._register(size)
 
     def _must_write(self, size: int) -> bool:
-        if self.written_size is None:
+        # A store that came back from a copy may not have this VM's row.
+        if self.written_size is None or era_of(self.own_revision) < self.store.era:
             return True
         return abs(size - self.written_size) > SIZE_CHANGE_RATIO * self.written_size
 
--- a/tests/unit/feeds/era_change.feature
+++ b/tests/unit/feeds/era_change.feature
@@ -80,3 +80,8 @@
     Given a VM that drives a release whose last step has lasted long enough
     When the store comes back from a copy with its order and without its state
     Then the release is complete only 3000 ms later
+
+  Scenario: a VM whose row the copy lacks registers again
+    Given a reader that has registered with the store
+    When the store comes back from a copy without its row
+    Then its row is in the store again
