Call the store at the address of the newest settings

Old routes and withdrawn keys stayed in use for as long as the processes lived.

Cause: the client of the store kept the address that it was made with; a reload passed the settings to others only.

Change: a reload moves the client, and ends the long polls to the old address, so that readers go on at the new one.

--- a/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
+++ b/packages/berylbankd/src/berylbankd/_internal/feeds/row_replicator.py
@@ -256,6 +256,10 @@
             self.became_reader.set()
             return
         self.became_reader = anyio.Event()
+        self.end_polls()
+
+    def end_polls(self) -> None:
+        """End the calls of the tasks that follow the store; a reader goes on with new ones."""
         for scope in self.reader_scopes.values():
             scope.cancel()
 
--- a/packages/berylbankd/src/berylbankd/_internal/platform/store.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/store.py
@@ -40,8 +40,12 @@
 
     def __init__(self, client: httpx.AsyncClient, address: str) -> None:
         self.client = client
-        self.base_url = f"http://{address}"
         self.era = 0
+        self.move(address)
+
+    def move(self, address: str) -> None:
+        """Make further calls to another address."""
+        self.base_url = f"http://{address}"
 
     async def read_table(self, table: str) -> TableSnapshot:
         """Read all rows of a table page by page.
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -98,7 +98,7 @@
         deployment = self.deployment
         now_ms = self.clock.now_ms()
         row_codec, self.lookup_codec = PlatformRowCodec(), PlatformLookupCodec()
-        store = HttpRowStore(client, deployment.store_address)
+        store = self.row_store = HttpRowStore(client, deployment.store_address)
         self.steering = Steering(deployment, row_codec, make_incarnation(), now_ms)
         self.steering.membership.hosts.update(set(deployment.seed_hosts) - {deployment.host})
         self.row_replicator = RowReplicator(
@@ -385,6 +385,10 @@
         except InvalidDocumentError as error:
             logger.error("settings could not be reloaded, keeping the previous ones: {}", error)
             return
+        if loaded.store_address != self.deployment.store_address:
+            self.row_store.move(loaded.store_address)
+            self.row_replicator.end_polls()
+            logger.info("store is now called at {}", loaded.store_address)
         self.deployment = loaded
         self.steering.reload(loaded)
         self.steering.membership.hosts.update(set(loaded.seed_hosts) - {loaded.host})
--- a/tests/functional/era_change.feature
+++ b/tests/functional/era_change.feature
@@ -1,4 +1,4 @@
-Feature: A fleet whose store comes back from a copy, with real processes
+Feature: A fleet whose store comes back from a copy, or moves, with real processes
 
   Scenario: what was acknowledged before the store went away holds, and what is written after its return is in force
     Given six VMs that serve requests, whose store is copied
@@ -8,3 +8,10 @@
     Then every VM serves the new route within 2500 ms
     And from 2500 ms after the changes on no request was served with the withdrawn key, or reached the servers that left
     And every VM of its region sends requests to the server that registered
+
+  # Review, case 9: no VM called the new address, and old routes and withdrawn keys stayed in use.
+  Scenario: a store that moves to another address is followed there
+    Given six VMs that serve requests, whose store is copied
+    When the settings of all VMs name another address of the store, and 2000 ms later it answers only there
+    And the operators and the servers write theirs again, with another route
+    Then every VM serves the new route within 2500 ms
--- a/tests/steps/era_fleet_steps.py
+++ b/tests/steps/era_fleet_steps.py
@@ -1,4 +1,4 @@
-"""Steps on real daemons whose store comes back from a copy."""
+"""Steps on real daemons whose store comes back from a copy, or moves."""
 
 import itertools
 import time
@@ -19,6 +19,8 @@
 PAUSE_S = 0.02
 SETTLE_S = 1.0
 GIVE_UP_S = 20.0
+# Longer than the stand-in store goes on answering at an address that is being closed.
+CLOSE_S = 2.5
 REQUEST_TIMEOUT_S = 4.0
 
 
@@ -124,18 +126,40 @@
 @when("{ms:d} ms later the operators and the servers write theirs again, with another route")
 def step_write_again(context, ms):
     time.sleep(ms / 1000)
+    step_write_now(context)
+
+
+@when("the operators and the servers write theirs again, with another route")
+def step_write_now(context):
     era, fleet = context.era, context.era.fleet
 
     async def write_again():
         era.put_configuration(4, [API_KEY], [NEW_PREFIX])
         await fleet.set_state("s0", "draining")
         fleet.store.put("servers", "s1", None)
-        fleet.store.put("servers", "s9", fleet.registrations["s9"])
+        if "s9" in fleet.registrations:
+            fleet.store.put("servers", "s9", fleet.registrations["s9"])
 
     era.portal.call(write_again)
     context.written_s = time.monotonic()
 
 
+@when(
+    "the settings of all VMs name another address of the store, and {ms:d} ms later it answers"
+    " only there"
+)
+def step_move(context, ms):
+    fleet = context.era.fleet
+
+    async def move():
+        closed = await fleet.move_store()
+        await anyio.sleep(ms / 1000)
+        closed.set()
+        await anyio.sleep(CLOSE_S)
+
+    context.era.portal.call(move)
+
+
 @then("every VM serves the new route within {ms:d} ms")
 def step_new_route(context, ms):
     era = context.era
--- a/tools/steering_fleet.py
+++ b/tools/steering_fleet.py
@@ -144,6 +144,7 @@
         self.store = StandInRowStore()
         self.store_address = f"{HOST}:{free_port()}"
         self.stop = anyio.Event()
+        self.store_closed = anyio.Event()
         self.servers: dict[str, SteeredBackend] = {}
         self.registrations: dict[str, dict[str, Any]] = {}
         self.vms: list[Vm] = []
@@ -156,7 +157,7 @@
 
     async def start(self, vms: int, servers: int, behaviour: SteeredBehaviour) -> None:
         """Start the store, servers and VMs, and wait until every VM is ready."""
-        self.group.start_soon(serve_app, self.store, self.store_address, self.stop)
+        self.group.start_soon(serve_app, self.store, self.store_address, self.store_closed)
         self.put_configuration(1, self.resources.caller_limits)
         for number in range(servers):
             self.add_server(f"s{number}", list(REGIONS)[number % len(REGIONS)], behaviour)
@@ -211,12 +212,23 @@
 
     async def start_vm(self, vm: Vm) -> None:
         """Start the daemon of a VM; its output goes to ``{vm.name}.log``."""
-        path = self.folder / f"{vm.name}.toml"
         store = self.store_address
         if self.open_store_link is not None:
             if vm.name not in self.store_links:
                 self.store_links[vm.name] = await self.open_store_link(vm.name, store)
             store = self.store_links[vm.name].listen
+        path = self.write_settings(vm, store)
+        log = (self.folder / f"{vm.name}.log").open("ab")
+        vm.process = await anyio.open_process(
+            [sys.executable, "-m", "berylbankd", "steer", "--settings", str(path)],
+            stdout=log,
+            stderr=log,
+            env=self.environment,
+        )
+
+    def write_settings(self, vm: Vm, store: str) -> Path:
+        """Write the settings file of a VM, with the store at an address; return its path."""
+        path = self.folder / f"{vm.name}.toml"
         path.write_text(
             SETTINGS.format(
                 name=vm.name,
@@ -238,13 +250,19 @@
                 max_descriptors=self.resources.max_descriptors,
             )
         )
-        log = (self.folder / f"{vm.name}.log").open("ab")
-        vm.process = await anyio.open_process(
-            [sys.executable, "-m", "berylbankd", "steer", "--settings", str(path)],
-            stdout=log,
-            stderr=log,
-            env=self.environment,
-        )
+        return path
+
+    async def move_store(self) -> anyio.Event:
+        """Serve the store at another address too, which all settings files name from now on.
+
+        Return the event that closes the address before.
+        """
+        closed, self.store_closed = self.store_closed, anyio.Event()
+        self.store_address = f"{HOST}:{free_port()}"
+        self.group.start_soon(serve_app, self.store, self.store_address, self.store_closed)
+        for vm in self.vms:
+            self.write_settings(vm, self.store_address)
+        return closed
 
     async def wait_ready(self, vm: Vm, ready: bool = True) -> None:
         """Wait until a VM reports that it is ready, or with ``ready=False`` that it is not."""
@@ -287,6 +305,7 @@
                 os.kill(vm.process.pid, signal.SIGKILL)
                 await vm.process.wait()
         self.store.close()
+        self.store_closed.set()
         self.stop.set()
 
 
