Soak: a store that comes back from copies

The store is copied, goes away and comes back from the copy in the next era; the operators and the servers write theirs again 0.3 s later. Drawn apart, so that the schedules of known seeds stay as they are.

--- a/tests/functional/soak.feature
+++ b/tests/functional/soak.feature
@@ -32,3 +32,11 @@
       | seed | seconds |
       | 1    | 12      |
       | 2    | 12      |
+
+  Scenario Outline: no promise is broken where the store comes back from copies, with seed <seed>
+    When the soak runs seed <seed> for <seconds> s with a store that comes back from copies
+    Then no guarantee is violated and callers were served
+
+    Examples:
+      | seed | seconds |
+      | 51   | 12      |
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -215,6 +215,12 @@
     context.result = anyio.run(run_seed, seed, float(seconds), 4, 5, folder, True, True)
 
 
+@when("the soak runs seed {seed:d} for {seconds:d} s with a store that comes back from copies")
+def step_run_copies(context, seed, seconds):
+    folder = Path("target/soak")
+    context.result = anyio.run(run_seed, seed, float(seconds), 4, 5, folder, False, False, True)
+
+
 @then("no guarantee is violated and callers were served")
 def step_run_succeeded(context):
     assert context.result.violations == [], context.result.violations
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -41,6 +41,7 @@
     servers: Annotated[int, cyclopts.Parameter(help="number of backend servers")] = 5,
     planned: Annotated[bool, cyclopts.Parameter(help="only planned operations")] = False,
     busy: Annotated[bool, cyclopts.Parameter(help="queued, cold and slow servers")] = False,
+    copies: Annotated[bool, cyclopts.Parameter(help="the store comes back from copies")] = False,
 ) -> int:
     """Run seeds one after the other; exit with 1 if a guarantee was violated."""
     chosen = [seed] if seed is not None else [secrets.randbelow(10**6) for _ in range(seeds)]
@@ -48,7 +49,9 @@
     results = []
     for current_seed in chosen:
         results.append(
-            anyio.run(run_seed, current_seed, seconds, vms, servers, LOG_FOLDER, planned, busy)
+            anyio.run(
+                run_seed, current_seed, seconds, vms, servers, LOG_FOLDER, planned, busy, copies
+            )
         )
         report(results[-1])
     failed = [result for result in results if result.violations]
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -58,6 +58,10 @@
     cold_factor=2.0,
     keep_deadlines=True,
 )
+# How long the store is away before it comes back from a copy, and how long after its return the
+# operators and the backend servers write theirs again.
+AWAY_S = 1.0
+WRITE_AGAIN_S = 0.3
 # Signals that follow on the first SIGTERM of a stop, and the time between them.
 FURTHER_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 SIGNAL_INTERVAL_S = 0.2
@@ -99,6 +103,7 @@
         self.link_resets: list[LinkReset] = []
         self.version = 1
         self.spare_key_withdrawn = False
+        self.evacuated = False
         self.faulty_targets: set[str] = set()
 
     async def open_links(self) -> None:
@@ -298,11 +303,30 @@
         return ""
 
     async def _evacuate_failure_domain(self, fault: Fault, _: str) -> str:
-        self.fleet.store.put("op", "evacuate/one-a", {})
+        self._write_evacuation(True)
         await anyio.sleep(fault.duration_s)
-        self.fleet.store.put("op", "evacuate/one-a", None)
+        self._write_evacuation(False)
         return ""
 
+    async def _restore_copy(self, fault: Fault, _: str) -> str:
+        store = self.fleet.store
+        copy = store.state.copy()
+        await anyio.sleep(fault.duration_s)
+        store.faults = store.faults._replace(refuse=True)
+        await anyio.sleep(AWAY_S)
+        store.restore(copy)
+        store.faults = type(store.faults)()
+        await anyio.sleep(WRITE_AGAIN_S)
+        self._write_configuration(self.spare_key_withdrawn)
+        self._write_evacuation(self.evacuated)
+        for server_id, registration in self.fleet.registrations.items():
+            store.put("servers", server_id, registration)
+        return ALL_VMS
+
+    def _write_evacuation(self, evacuated: bool) -> None:
+        self.evacuated = evacuated
+        self.fleet.store.put("op", "evacuate/one-a", {} if evacuated else None)
+
     def _write_configuration(self, spare_key_withdrawn: bool) -> None:
         self.spare_key_withdrawn = spare_key_withdrawn
         self.version += 3
@@ -335,6 +359,7 @@
     FaultKind.CONFIGURATION_CHANGE: Soak._change_configuration,
     FaultKind.EVACUATION: Soak._evacuate_failure_domain,
     FaultKind.STORE_COMPACTS: Soak._disturb_store,
+    FaultKind.STORE_COPY: Soak._restore_copy,
     **dict.fromkeys(STORE_FAULTS, Soak._disturb_store),
     **dict.fromkeys(SERVER_BEHAVIOUR_CHANGES, Soak._disturb_server),
 }
@@ -348,14 +373,15 @@
     logs: Path,
     planned: bool = False,
     busy: bool = False,
+    copies: bool = False,
 ) -> SoakResult:
     """Run one seed; keep the VMs' logs if a guarantee was violated.
 
     With ``planned`` the schedule has only planned operations, with ``busy`` the servers are queued,
-    cold and slow.
+    cold and slow, with ``copies`` the store comes back from copies.
     """
     behaviour = BUSY_BEHAVIOUR if busy else BEHAVIOUR
-    faults = make_schedule(seed, length_s, planned)
+    faults = make_schedule(seed, length_s, planned, copies)
     async with anyio.create_task_group() as link_group:
         async with open_steering_fleet(
             vms,
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -29,6 +29,7 @@
     KEY_WITHDRAWN = "key withdrawn"
     CONFIGURATION_CHANGE = "configuration changes"
     EVACUATION = "failure domain evacuated"
+    STORE_COPY = "store comes back from a copy"
 
 
 # Relative frequency of a kind; 1 for those not listed.
@@ -50,6 +51,9 @@
     FaultKind.SERVER_DRAINS,
     FaultKind.CONFIGURATION_CHANGE,
 )
+# Drawn apart from the others, so that the schedules of known seeds stay as they are.
+SEPARATE_KINDS = (FaultKind.STORE_COPY,)
+MAX_COPIES = 2
 MIN_DURATION_S = 0.3
 MAX_DURATION_S = 3.0
 FAULTS_PER_S = 1.2
@@ -69,14 +73,17 @@
     link_mode_number: int
 
 
-def make_schedule(seed: int, length_s: float, planned: bool = False) -> list[Fault]:
+def make_schedule(
+    seed: int, length_s: float, planned: bool = False, copies: bool = False
+) -> list[Fault]:
     """Return the faults of a seed, ordered by time; with ``planned`` only planned operations.
 
     A quarter of them repeat the kind drawn before, so that some schedules have many faults of one
-    kind.
+    kind. With ``copies`` the store also comes back from copies.
     """
     rng = random.Random(seed)
-    kinds = list(PLANNED_KINDS if planned else FaultKind)
+    kinds = [kind for kind in FaultKind if kind not in SEPARATE_KINDS]
+    kinds = list(PLANNED_KINDS) if planned else kinds
     weights = [KIND_WEIGHTS.get(kind, 1) for kind in kinds]
     faults: list[Fault] = []
     for _ in range(round(length_s * FAULTS_PER_S)):
@@ -92,4 +99,20 @@
                 rng.randrange(64),
             )
         )
+    if copies:
+        faults += draw_copies(random.Random(f"copies {seed}"), length_s)
     return sorted(faults)
+
+
+def draw_copies(rng: random.Random, length_s: float) -> list[Fault]:
+    """Return times at which the store is copied; it comes back from the copy after the fault."""
+    return [
+        Fault(
+            rng.uniform(0, length_s),
+            rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
+            FaultKind.STORE_COPY,
+            0,
+            0,
+        )
+        for _ in range(rng.randint(1, MAX_COPIES))
+    ]
