Refuse a request whose target is no URL, rather than close its connection

A caller who sent such a target got no answer: took the request for one that had been passed on, as the parser's callback fails after that was noted.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -279,8 +279,8 @@
         if not self.budget.admit(self):
             self.refuse(RefusalKind.CALLERS_HOLD_TOO_MUCH)
             return
-        self.dispatched = True
         super().on_headers_complete()
+        self.dispatched = True
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body to the request."""
--- a/tests/unit/connections/requests.feature
+++ b/tests/unit/connections/requests.feature
@@ -16,6 +16,10 @@
     When a caller sends "CONNECT a.example:443 HTTP/1.1"
     Then it is refused with status 400, and nothing arrived
 
+  Scenario: a request whose target is no URL is refused
+    When a caller sends "GET gopher://[::1 HTTP/1.1"
+    Then it is refused with status 400, and nothing arrived
+
   Scenario: requests that are cut at any place arrive unchanged and in order
     Then any requests, sent in any parts, arrive unchanged and are answered in order
 
