Refuse a request for rows after what is no revision

A client that asked the rows port for rows after a number of 5,000 digits, or after a digit that is no decimal, got a 500, and each such request left a traceback of 20 lines in the log, which no limit bounds.

Cause: text.isdigit() is true for both, and int() takes neither.

Change: decode_rows_request() takes ASCII digits, at most those of 64 bits. functional/hostile_callers, 'a digit that is no decimal': 500 and a traceback before, 400 and none now; unit/feeds/replication has the other rows.

--- a/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
+++ b/packages/berylbankd/src/berylbankd/_internal/peers/transport.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, Protocol
 
 import anyio
@@ -25,6 +25,8 @@
 # The nearest VM that has the rows is asked first; on a timeout the caller tries another VM.
 FETCH_ROWS_TIMEOUT_S = 0.8
 ROWS_PATH = "/rows"
+# Revisions have 64 bits.
+MAX_REVISION_DIGITS = 20
 # Numbers of token requests start at 0 again when they reach this limit.
 TOKEN_REQUEST_NUMBER_LIMIT = 2**32 - 1
 
@@ -142,6 +144,14 @@
             self.sent_bytes += len(data)
 
 
+def decode_rows_request(query: Mapping[str, Sequence[str]]) -> RowsRequest | None:
+    """Return the request for rows in a query string's parameters, or None if it is invalid."""
+    table, after = query.get("table", [""])[0], query.get("after", [""])[0]
+    if not after.isascii() or not after.isdigit() or len(after) > MAX_REVISION_DIGITS:
+        return None
+    return RowsRequest(table, int(after), "complete" in query)
+
+
 async def fetch_rows(
     client: httpx.AsyncClient, host: str, port: int, request: RowsRequest
 ) -> TableRows | None:
--- a/packages/berylbankd/src/berylbankd/_internal/steering_application.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering_application.py
@@ -33,8 +33,13 @@
 from berylbankd._internal.metrics import Metrics
 from berylbankd._internal.models.deployment import Deployment
 from berylbankd._internal.peers.codec import encode_rows
-from berylbankd._internal.peers.messages import RowsRequest, StateDigest, TokenGrant, TokenRequest
-from berylbankd._internal.peers.transport import ROWS_PATH, PeerTransport, make_incarnation
+from berylbankd._internal.peers.messages import StateDigest, TokenGrant, TokenRequest
+from berylbankd._internal.peers.transport import (
+    ROWS_PATH,
+    PeerTransport,
+    decode_rows_request,
+    make_incarnation,
+)
 from berylbankd._internal.platform.headers import PlatformHeaderCodec
 from berylbankd._internal.platform.lookups import PlatformLookupCodec
 from berylbankd._internal.platform.names import DEFAULT_SETTINGS_PATH, SETTINGS_PATH_VARIABLE
@@ -224,11 +229,10 @@
         return EndpointResponse(200, self.lookup_codec.encode_addresses(addresses, ttl_ms))
 
     def _serve_rows(self, query: QueryParameters) -> EndpointResponse:
-        table, after = query.get("table", [""])[0], query.get("after", [""])[0]
-        if not after.isdigit():
+        request = decode_rows_request(query)
+        if request is None:
             return EndpointResponse(400)
-        complete = "complete" in query
-        table_rows = self.row_replicator.rows_after(RowsRequest(table, int(after), complete))
+        table_rows = self.row_replicator.rows_after(request)
         return EndpointResponse(200, encode_rows(table_rows), b"application/octet-stream")
 
     def _serve_metrics(self, _: QueryParameters) -> EndpointResponse:
--- a/tests/functional/hostile_callers.feature
+++ b/tests/functional/hostile_callers.feature
@@ -78,6 +78,11 @@
       | a body in chunks of one byte  |
       | a body in chunks and trailers |
 
+  Scenario: a request for rows after a digit that is no decimal is refused, and no fault is logged
+    When a caller asks for rows after a digit that is no decimal
+    Then it is refused with status 400
+    And the log of the VM has no traceback
+
   Scenario: limits of a new configuration hold on connections that are open
     Given a caller has had a request with a head of short lines answered on its connection
     When a configuration allows heads of half that size, and the caller sends the same again
--- a/tests/steps/hostile_caller_steps.py
+++ b/tests/steps/hostile_caller_steps.py
@@ -277,6 +277,19 @@
     assert b"x-server-signature" in head and b"x-request-id: full" in head, head
 
 
+@when("a caller asks for rows after a digit that is no decimal")
+def step_ask_for_rows(context):
+    request = b"GET /rows?table=op&after=%C2%B2 HTTP/1.1\r\nHost: a\r\n\r\n"
+    start_crowd(context, 1, "rows", Sending(request))
+    context.answer = read_answer(context)
+
+
+@then("the log of the VM has no traceback")
+def step_no_traceback(context):
+    fleet = context.hostile_fleet
+    assert "Traceback" not in fleet.read_log(fleet.vms[0])
+
+
 @when("a configuration allows heads of half that size, and the caller sends the same again")
 def step_halve(context):
     limits = {**dict(CALLER_LIMITS), "maxHeaderBytes": MAX_HEADER_BYTES // 2}
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -18,7 +18,8 @@
 from berylbankd._internal.models.deployment import Bounds
 from berylbankd._internal.models.rows import Row, RowKey
 from berylbankd._internal.models.types import ReleaseOrder, ReleaseState, ReleaseStatus
-from berylbankd._internal.peers.messages import Position
+from berylbankd._internal.peers.messages import Position, RowsRequest
+from berylbankd._internal.peers.transport import decode_rows_request
 from berylbankd._internal.platform.headers import PlatformHeaderCodec
 from berylbankd._internal.platform.store import HttpRowStore
 from berylbankd._internal.steering.hashing import hash_to_fraction
@@ -39,6 +40,12 @@
 )
 from tests.support.steering import ROW_CODEC, make_deployment, server_row
 
+ODD_REVISIONS = {
+    "a number of 5000 digits": "9" * 5_000,
+    "a digit that is no decimal": "\u00b2",
+    "a negative number": "-1",
+    "nothing": "",
+}
 EVACUATION = RowKey(ORDERS, "evacuate/b")
 
 
@@ -416,6 +423,12 @@
     check()
 
 
+@then("a request for rows after {what} is not decoded")
+def step_odd_revision(context, what):
+    assert decode_rows_request({"table": [SERVERS], "after": ["7"]}) == RowsRequest(SERVERS, 7)
+    assert decode_rows_request({"table": [SERVERS], "after": [ODD_REVISIONS[what]]}) is None
+
+
 @then("a page of three rows with one that is not base64 gives two readable ones")
 def step_page(context):
     values = [base64.b64encode(server_row("s0", 1).value).decode()] * 3
--- a/tests/unit/feeds/replication.feature
+++ b/tests/unit/feeds/replication.feature
@@ -80,3 +80,13 @@
     When both tables change, and the VM hears of their new positions
     Then it has both changes within 0.8 s
     And the store was not called
+
+  Scenario Outline: a request for rows after <what> is invalid
+    Then a request for rows after <what> is not decoded
+
+    Examples:
+      | what                       |
+      | a number of 5000 digits    |
+      | a digit that is no decimal |
+      | a negative number          |
+      | nothing                    |
