Count it against a version in release that requests run out of time at it

Cause: an attempt that the deadline ended was evidence of nothing, unless a silence of a repeatable request had been recorded. Servers get the deadline that this VM has, so their own 504 came too late to count.

Change: as the deadline passes, each attempt still pending counts as a bad response of its version, old and new alike, if its server had it for 0.8 of the route's timeout, or long enough to count as slow. The server's own record stays as it is: a queue is no fault of it. A caller that left, a shorter deadline of the caller's and a cold server count for nothing.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
@@ -74,6 +74,10 @@
         if self.result is None:
             self.result = self._find_success()
         if self.result is None and not self.caller_left:
+            for attempt in self.attempts.find_pending():
+                self.dispatcher.server_exchange.record_unanswered(
+                    self.request.pick_request, attempt
+                )
             self.result = make_result_after_deadline(self.attempts)
         if len(self.attempts.started) > 1:
             await self.dispatcher.drop_responses_except(self.attempts, self.result)
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -4,6 +4,7 @@
 to the caller, so that another attempt can still replace an incomplete response.
 """
 
+import math
 from collections.abc import Callable
 
 import anyio
@@ -125,6 +126,17 @@
         # The server may have dropped its idle connections too.
         await self.connection_pool.close_idle_to(attempt.pick.server.registration.address)
 
+    def record_unanswered(self, pick_request: PickRequest, attempt: Attempt) -> None:
+        """Record that a request's deadline passed at its server, unless silence was recorded."""
+        if attempt.silence_recorded or math.isinf(attempt.progress_s):
+            return
+        self.steering.record_unanswered(
+            pick_request,
+            attempt.pick,
+            waited_ms=(anyio.current_time() - attempt.progress_s) * 1000,
+            now_ms=self.clock.now_ms(),
+        )
+
     async def _connect_and_exchange(
         self,
         request: OutgoingRequest,
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -49,6 +49,9 @@
 # Latencies are taken in whole milliseconds, so those of a fast server can be 0; several decisions
 # divide by the service time.
 MIN_SERVICE_MS = 1.0
+# A server that had a request for this share of its route's timeout was given the time that
+# operators allow.
+UNANSWERED_TIMEOUT_SHARE = 0.8
 # Smaller amounts (slots in use, or requests per second) are left out of digests.
 MIN_REPORTED_AMOUNT = 0.05
 
@@ -212,6 +215,22 @@
         else:
             pick.server.record_success(latency_ms)
 
+    def record_unanswered(
+        self, request: PickRequest, pick: Pick, *, waited_ms: float, now_ms: int
+    ) -> None:
+        """Record as evidence on a release that a request's time ran out at a server.
+
+        It says nothing of the server alone, at which the request may only have been queued. A time
+        that is short for other reasons than the server, as the caller's, is no evidence.
+        """
+        release, route = pick.release, request.route
+        if release is None or pick.server.is_cold(now_ms):
+            return
+        slow = self.baseline_latency.is_slow(route.name, waited_ms, route.objective_ms)
+        if slow or waited_ms >= UNANSWERED_TIMEOUT_SHARE * route.timeout_ms:
+            release.record_response(route.name, pick.new_version, True)
+            self._evaluate_release(release, now_ms)
+
     def record_notices(
         self, state: ServerState, notices: ServerNotices, sent_ms: int, now_ms: int
     ) -> None:
--- a/tests/steps/silent_server_steps.py
+++ b/tests/steps/silent_server_steps.py
@@ -145,6 +145,7 @@
         self.servers = []
         self.kind = RequestKind.SAFE
         self.max_attempts = 2
+        self.route_timeout_ms = None
         self.mean_service_ms = MEAN_SERVICE_MS
         self.budget_spent_after_s = None
         self.room_after_s = None
@@ -165,7 +166,7 @@
             install_keys(steering, "alder")
             route = ROUTE._replace(
                 kind=self.kind,
-                timeout_ms=wait_ms,
+                timeout_ms=self.route_timeout_ms or wait_ms,
                 objective_ms=OBJECTIVE_MS,
                 max_attempts=self.max_attempts,
             )
--- a/tests/steps/together_steps.py
+++ b/tests/steps/together_steps.py
@@ -5,7 +5,7 @@
 
 from berylbank._internal.utils.clock import BootClock
 from berylbankd._internal.models.deployment import Bounds
-from berylbankd._internal.models.types import ReleaseOrder
+from berylbankd._internal.models.types import ReleaseOrder, RequestKind
 from berylbankd._internal.steering.releases import Release
 from tests.steps.faulty_server_steps import OK_HEAD, make_scope
 from tests.steps.silent_server_steps import Caller, SilentScene, SlowServer, find_answer
@@ -107,6 +107,39 @@
     scene.release = Release(ReleaseOrder("desk", "v2", 600_000, 1), Bounds(), 0)
 
 
+@given("a server of a service that is being released, which never answers bookings")
+def step_released_server(context):
+    scene = context.scene = TogetherScene()
+    scene.kind = RequestKind.UNSAFE
+    scene.add("never answers", MANY_SLOTS)
+    scene.release = Release(ReleaseOrder("desk", "v2", 600_000, 1), Bounds(), 0)
+
+
+@when("it is given {ms:d} ms")
+def step_book(context, ms):
+    context.scene.run(ms)
+
+
+@when("it is given {ms:d} ms and its caller leaves after {leave_ms:d}")
+def step_book_and_leave(context, ms, leave_ms):
+    context.scene.caller = Caller(leave_ms / 1000)
+    context.scene.run(ms)
+
+
+@when("its caller gives it a tenth of its route's timeout")
+def step_book_shortly(context):
+    context.scene.route_timeout_ms = 1_000
+    context.scene.run(100)
+
+
+@then("{count:d} bad responses count against its version, and none against the server")
+def step_bad_responses(context, count):
+    counts = context.scene.release.route_counts.values()
+    assert sum(item.old_bad for item in counts) == count, [vars(item) for item in counts]
+    assert context.scene.servers[0].request_ids, "no request was sent to the server"
+    assert context.scene.servers[0].state.failures == 0
+
+
 @given("a server that answers after {ms:d} ms, and one that sends a {header} of 5000 digits")
 def step_digits(context, ms, header):
     scene = context.scene = TogetherScene()
--- a/tests/unit/ingress/attempts_together.feature
+++ b/tests/unit/ingress/attempts_together.feature
@@ -34,3 +34,15 @@
     Given a server that answers after 600 ms, and one that reports a load of 400 digits
     When a caller who waits 1500 ms reads from one of them
     Then the caller has the whole answer of a server
+
+  # Review, case 7: a version that was slower than a route's timeout gave no evidence and was released to all.
+  Scenario Outline: a booking whose time runs out at a server <counts> against its version, where <case>
+    Given a server of a service that is being released, which never answers bookings
+    When <case>
+    Then <count> bad responses count against its version, and none against the server
+
+    Examples:
+      | case                                                | counts         | count |
+      | it is given 300 ms                                  | counts         | 1     |
+      | it is given 300 ms and its caller leaves after 100  | does not count | 0     |
+      | its caller gives it a tenth of its route's timeout  | does not count | 0     |
