Take the version whose servers started first for the stable one

Cause: a VM that knew no stable version took the one with the most servers, of equal ones the first by name, and kept it as long as it had servers. An order that named it came too late to matter.

Change: the version whose servers started first; corrected by one that started before it, and by the state of its release. A version that was chosen does not lose its requests when its servers restart, and one whose release succeeded goes before all.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -28,6 +28,7 @@
 # After an evacuation ends, its servers are treated as cold for this time, unless they register a
 # remaining warm-up time of their own.
 POST_EVACUATION_COLD_MS = 2_500
+RELEASED_STARTED_MS = -1
 # How long after a server's departure the last request to it is reported.
 DEPARTURE_REPORT_MS = 5_000
 
@@ -70,6 +71,17 @@
     revision: int
 
 
+class StableVersion(NamedTuple):
+    """The version of a service that gets the requests, and why it does.
+
+    ``started_ms`` is when its first server had started as it was chosen, ``RELEASED_STARTED_MS`` if
+    its release succeeded.
+    """
+
+    version: str
+    started_ms: int
+
+
 class RoutingState:
     """What this VM knows of the store: configuration, servers, evacuations and releases.
 
@@ -92,7 +104,7 @@
         self.evacuation_ended_ms: dict[str, int] = {}
         self.orders: dict[str, ReleaseOrder] = {}
         self.statuses: dict[str, StatusRow] = {}
-        self.stable_versions: dict[str, str] = {}
+        self.stable_versions: dict[str, StableVersion] = {}
         self.version_checked_generation: dict[str, int] = {}
         self.removal_grace_until_ms = 0
         self.may_miss_servers = False
@@ -232,32 +244,46 @@
     def stable_version(self, service: str) -> str | None:
         """Return the version that gets requests when no release is running, if one is known.
 
-        Servers of a new version register before its release order is read. The known version is
-        therefore kept until a release of another one has succeeded, or until it has no servers.
+        Servers of a new version start, and register, before its release is ordered. The known
+        version is therefore kept until a release of another one has succeeded, or until it has no
+        servers. A VM that starts takes the version whose servers started first, and corrects that
+        when it learns of one that started before, or that the version's release has not succeeded.
         """
-        if self.version_checked_generation.get(service) == self.generation:
-            return self.stable_versions.get(service)
-        self.version_checked_generation[service] = self.generation
-        status_row = self.statuses.get(service)
-        versions = [
-            state.registration.version
-            for state in self.servers.values()
-            if state.registration.service == service
-        ]
+        if self.version_checked_generation.get(service) != self.generation:
+            self.version_checked_generation[service] = self.generation
+            self._update_stable_version(service)
+        known = self.stable_versions.get(service)
+        return known.version if known is not None else None
+
+    def _update_stable_version(self, service: str) -> None:
+        order, status_row = self.orders.get(service), self.statuses.get(service)
         if status_row is not None and status_row.status.state is ReleaseState.SUCCEEDED:
-            self.stable_versions[service] = status_row.status.to_version
+            self.stable_versions[service] = StableVersion(
+                status_row.status.to_version, RELEASED_STARTED_MS
+            )
+        started_ms = self._find_version_starts(service)
         known = self.stable_versions.get(service)
-        if known is None or known not in versions:
-            self._choose_stable_version(service, versions)
-        return self.stable_versions.get(service)
-
-    def _choose_stable_version(self, service: str, versions: list[str]) -> None:
-        order = self.orders.get(service)
-        candidates = [
-            version for version in versions if order is None or version != order.to_version
-        ]
-        if candidates:
-            self.stable_versions[service] = max(sorted(set(candidates)), key=candidates.count)
+        ordered = order.to_version if order is not None else ""
+        candidates = dict(started_ms)
+        is_released = known is not None and known.started_ms == RELEASED_STARTED_MS
+        if not is_released and status_row is not None and status_row.status.to_version == ordered:
+            # Its release is running, or was rolled back.
+            candidates.pop(ordered, None)
+        if not candidates:
+            return
+        first = min(candidates, key=lambda name: (candidates[name], name == ordered, name))
+        if known is None or known.version not in candidates or candidates[first] < known.started_ms:
+            self.stable_versions[service] = StableVersion(first, candidates[first])
+
+    def _find_version_starts(self, service: str) -> dict[str, int]:
+        """Return the versions of a service's servers, with the earliest start of each."""
+        started_ms: dict[str, int] = {}
+        for state in self.servers.values():
+            registration = state.registration
+            if registration.service == service:
+                earliest_ms = started_ms.get(registration.version, registration.started_ms)
+                started_ms[registration.version] = min(earliest_ms, registration.started_ms)
+        return started_ms
 
     def _apply_configuration(self, row: Row) -> None:
         configuration = self.row_codec.decode_configuration(row)
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -2,6 +2,7 @@
 
 import functools
 import itertools
+import json
 import random
 from fractions import Fraction
 
@@ -25,6 +26,8 @@
     CallerLimits,
     Configuration,
     Organisation,
+    ReleaseState,
+    ReleaseStatus,
     RequestKind,
     Route,
     Service,
@@ -1096,6 +1099,69 @@
         context.routing_state.apply_row(server_row(f"n{number}", 2 + number, info=info), 10)
 
 
+def version_row(name, version, started_ms):
+    info = {"service": "desk", "version": version, "zone": "a", "capacity": 4}
+    return server_row(name, 2, info=info, born=started_ms)
+
+
+@when('every server of version "v1" starts again')
+def step_start_again(context):
+    assert context.routing_state.stable_version("desk") == "v1"
+    context.routing_state.apply_row(version_row("s0", "v1", 9_000), 20)
+
+
+@given('servers of version "v9" that started first, and as many of "v10" that started later')
+def step_two_versions_registered(context):
+    context.version_rows = [
+        version_row("a0", "v9", 1_000),
+        # It has been restarted since.
+        version_row("a1", "v9", 9_000),
+        version_row("b0", "v10", 5_000),
+        version_row("b1", "v10", 5_000),
+    ]
+
+
+def make_release_rows(to, state):
+    order = {"service": "desk", "to": to, "durationS": 10}
+    key = RowKey(ROW_CODEC.orders_table, "rollout/desk")
+    rows = [Row(key, json.dumps(order).encode(), 3)]
+    if state is not None:
+        value = ROW_CODEC.encode_status(ReleaseStatus("desk", to, state))
+        rows.append(Row(ROW_CODEC.status_key("desk"), value, 4))
+    return rows
+
+
+@when("no release is ordered yet")
+def step_no_order(context):
+    context.release_rows = []
+
+
+@when('a release to "{to}" is ordered')
+def step_order_row(context, to):
+    context.release_rows = make_release_rows(to, None)
+
+
+@when('a release to "{to}" has been rolled back')
+def step_rolled_back_row(context, to):
+    context.release_rows = make_release_rows(to, ReleaseState.ROLLED_BACK)
+
+
+@when('a release to "{to}" has succeeded')
+@when('a release to "{to}" succeeded before')
+def step_succeeded_row(context, to):
+    context.release_rows = make_release_rows(to, ReleaseState.SUCCEEDED)
+
+
+@then('in any order of arrival version "{version}" gets the requests')
+def step_any_arrival(context, version):
+    for rows in itertools.permutations([*context.version_rows, *context.release_rows]):
+        state = RoutingState(ROW_CODEC)
+        for row in rows:
+            state.apply_row(row, 0)
+            state.stable_version("desk")
+        assert state.stable_version("desk") == version, [row.key.key for row in rows]
+
+
 @then('version "{version}" gets the requests')
 def step_version_serves(context, version):
     assert context.routing_state.stable_version("desk") == version
--- a/tests/unit/steering/rows.feature
+++ b/tests/unit/steering/rows.feature
@@ -104,3 +104,23 @@
     Given a routing state with a server in "a"
     When a server of version "v2" registers
     Then version "v1" gets the requests
+
+  # Review, case 8: a restarted VM took the version with the most servers, or the first by name, and kept it.
+  Scenario Outline: a VM that starts while two versions are registered sends requests to <stable>, where <case>
+    Given servers of version "v9" that started first, and as many of "v10" that started later
+    When <case>
+    Then in any order of arrival version "<stable>" gets the requests
+
+    Examples:
+      | case                                          | stable |
+      | no release is ordered yet                     | v9     |
+      | a release to "v10" is ordered                 | v9     |
+      | a release to "v10" has been rolled back       | v9     |
+      | a release to "v10" has succeeded              | v10    |
+      | a release to "v9" succeeded before            | v9     |
+
+  Scenario: a version keeps its requests when its servers restart after those of a new version started
+    Given a routing state with a server in "a"
+    When a server of version "v2" registers
+    And every server of version "v1" starts again
+    Then version "v1" gets the requests
