Leave the requests with a version whose servers are all away during a release of another one

Found by reading the change to the stable version again: a VM that does not know the state of a release took the ordered version for the stable one when every server of the old one was away for a moment, and kept it, as its servers had started first by then.

Change: while another version has the requests, an ordered one is not chosen, whether or not the state of its release is known (as it was before). unit/steering/rows, 'all of its servers are away', fails on the commit before.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -261,19 +261,26 @@
             self.stable_versions[service] = StableVersion(
                 status_row.status.to_version, RELEASED_STARTED_MS
             )
-        started_ms = self._find_version_starts(service)
         known = self.stable_versions.get(service)
-        ordered = order.to_version if order is not None else ""
-        candidates = dict(started_ms)
-        is_released = known is not None and known.started_ms == RELEASED_STARTED_MS
-        if not is_released and status_row is not None and status_row.status.to_version == ordered:
-            # Its release is running, or was rolled back.
-            candidates.pop(ordered, None)
-        if not candidates:
+        started_ms = self._find_version_starts(service)
+        if order is not None and self._is_unproved(order.to_version, known, status_row):
+            started_ms.pop(order.to_version, None)
+        if not started_ms:
             return
-        first = min(candidates, key=lambda name: (candidates[name], name == ordered, name))
-        if known is None or known.version not in candidates or candidates[first] < known.started_ms:
-            self.stable_versions[service] = StableVersion(first, candidates[first])
+        ordered = order.to_version if order is not None else ""
+        first = min(started_ms, key=lambda name: (started_ms[name], name == ordered, name))
+        if known is None or known.version not in started_ms or started_ms[first] < known.started_ms:
+            self.stable_versions[service] = StableVersion(first, started_ms[first])
+
+    def _is_unproved(
+        self, ordered: str, known: StableVersion | None, status_row: StatusRow | None
+    ) -> bool:
+        """Tell whether an ordered version certainly has no release that succeeded."""
+        if known is not None and known.version != ordered:
+            return True
+        if known is not None and known.started_ms == RELEASED_STARTED_MS:
+            return False
+        return status_row is not None and status_row.status.to_version == ordered
 
     def _find_version_starts(self, service: str) -> dict[str, int]:
         """Return the versions of a service's servers, with the earliest start of each."""
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -1110,6 +1110,20 @@
     context.routing_state.apply_row(version_row("s0", "v1", 9_000), 20)
 
 
+@when(
+    'a release to version "v2" is ordered, and every server of version "v1" is away and then'
+    " starts again"
+)
+def step_away_during_release(context):
+    state = context.routing_state
+    (order,) = make_release_rows("v2", None)
+    state.apply_row(order, 20)
+    assert state.stable_version("desk") == "v1"
+    state.apply_row(Row(RowKey(ROW_CODEC.servers_table, "s0"), None, 10), 20)
+    assert state.stable_version("desk") == "v1"
+    state.apply_row(version_row("s0", "v1", 9_000), 30)
+
+
 @given('servers of version "v9" that started first, and as many of "v10" that started later')
 def step_two_versions_registered(context):
     context.version_rows = [
--- a/tests/unit/steering/rows.feature
+++ b/tests/unit/steering/rows.feature
@@ -124,3 +124,9 @@
     When a server of version "v2" registers
     And every server of version "v1" starts again
     Then version "v1" gets the requests
+
+  Scenario: a version keeps its requests when all of its servers are away during a release of another one
+    Given a routing state with a server in "a"
+    When a server of version "v2" registers
+    And a release to version "v2" is ordered, and every server of version "v1" is away and then starts again
+    Then version "v1" gets the requests
