Count every unanswered request that outlasts the old version's usual latency against its release

Cause: a request that ended unanswered was evidence only if its server had it for 0.8 of the route's timeout, and never if its caller left. Callers' deadlines differ within a route and are often shorter than the timeout, so such waits were taken for good news.

Change: the measure is the old version, which serves the same callers at the same time. An unanswered request counts against its version, old and new alike, once its server had it for as long as the old version usually takes, be it ended by the route, the deadline or the caller. Shorter waits say nothing, as the old version rarely answers within them either. On sticky routes the objective is the shortest wait that counts, since servers are slower on objects new to them.

Evidence: unit/ingress/attempts_together, 'a booking that ends unanswered', two rows fail before. The row whose caller left after 100 ms kept that no caller who leaves gives evidence, which hid a slow version from callers who hang up; it is replaced by two rows, one on each side of the usual latency.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/race.py
@@ -73,12 +73,13 @@
                 self.dispatcher.server_exchange.record_end(attempt)
         if self.result is None:
             self.result = self._find_success()
-        if self.result is None and not self.caller_left:
+        if self.result is None:
             for attempt in self.attempts.find_pending():
                 self.dispatcher.server_exchange.record_unanswered(
                     self.request.pick_request, attempt
                 )
-            self.result = make_result_after_deadline(self.attempts)
+            if not self.caller_left:
+                self.result = make_result_after_deadline(self.attempts)
         if len(self.attempts.started) > 1:
             await self.dispatcher.drop_responses_except(self.attempts, self.result)
         return self.result
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -127,7 +127,7 @@
         await self.connection_pool.close_idle_to(attempt.pick.server.registration.address)
 
     def record_unanswered(self, pick_request: PickRequest, attempt: Attempt) -> None:
-        """Record that a request's deadline passed at its server, unless silence was recorded."""
+        """Record that a request ended while its server had it, unless silence was recorded."""
         if attempt.silence_recorded or math.isinf(attempt.progress_s):
             return
         self.steering.record_unanswered(
--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from berylbankd._internal.models.deployment import Bounds
-from berylbankd._internal.models.types import ReleaseOrder, ReleaseState
+from berylbankd._internal.models.types import ReleaseOrder, ReleaseState, Route
 from berylbankd._internal.peers.messages import ReleaseReport, RouteEvidence
 from berylbankd._internal.steering.hashing import hash_to_fraction
 from berylbankd._internal.steering.servers import ServerState
@@ -306,6 +306,17 @@
         mean_ms = self.mean_ms_by_route.get(route, latency_ms)
         self.mean_ms_by_route[route] = mean_ms + LATENCY_WEIGHT * (latency_ms - mean_ms)
 
+    def usual_ms(self, route: Route) -> float:
+        """Return the time in which the old version usually responds.
+
+        On a sticky route a server takes longer for objects that are new to it, for which the
+        objective allows. It stands in for the mean until the old version has responded here.
+        """
+        mean_ms = self.mean_ms_by_route.get(route.name)
+        if mean_ms is None:
+            return route.objective_ms
+        return max(mean_ms, route.objective_ms) if route.sticky else mean_ms
+
     def is_slow(self, route: str, latency_ms: float, objective_ms: int) -> bool:
         """Tell whether a response is several times slower than the baseline."""
         mean_ms = self.mean_ms_by_route.get(route)
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -49,9 +49,6 @@
 # Latencies are taken in whole milliseconds, so those of a fast server can be 0; several decisions
 # divide by the service time.
 MIN_SERVICE_MS = 1.0
-# A server that had a request for this share of its route's timeout was given the time that
-# operators allow.
-UNANSWERED_TIMEOUT_SHARE = 0.8
 # Smaller amounts (slots in use, or requests per second) are left out of digests.
 MIN_REPORTED_AMOUNT = 0.05
 
@@ -218,16 +215,16 @@
     def record_unanswered(
         self, request: PickRequest, pick: Pick, *, waited_ms: float, now_ms: int
     ) -> None:
-        """Record as evidence on a release that a request's time ran out at a server.
+        """Record as evidence on a release that a request ended without its server's response.
 
-        It says nothing of the server alone, at which the request may only have been queued. A time
-        that is short for other reasons than the server, as the caller's, is no evidence.
+        Its time ran out, or its caller left. Callers of one route wait for different times, so both
+        versions are counted alike; a wait in which the old version rarely responds is no evidence.
+        It says nothing of the server alone, at which the request may only have been queued.
         """
         release, route = pick.release, request.route
         if release is None or pick.server.is_cold(now_ms):
             return
-        slow = self.baseline_latency.is_slow(route.name, waited_ms, route.objective_ms)
-        if slow or waited_ms >= UNANSWERED_TIMEOUT_SHARE * route.timeout_ms:
+        if waited_ms >= self.baseline_latency.usual_ms(route):
             release.record_response(route.name, pick.new_version, True)
             self._evaluate_release(release, now_ms)
 
--- a/tests/steps/together_steps.py
+++ b/tests/steps/together_steps.py
@@ -9,6 +9,7 @@
 from berylbankd._internal.steering.releases import Release
 from tests.steps.faulty_server_steps import OK_HEAD, make_scope
 from tests.steps.silent_server_steps import Caller, SilentScene, SlowServer, find_answer
+from tests.steps.steering_steps import ROUTE
 from tests.support.steering import server_row
 
 MANY_SLOTS = 100
@@ -53,6 +54,7 @@
         self.rows = []
         self.release = None
         self.reported_load = None
+        self.usual_ms = None
 
     def add(self, behaviour, slots=4, version="v1"):
         self.servers.append(TogetherServer(f"server {len(self.servers)}", behaviour))
@@ -77,6 +79,8 @@
         budget.slack = budget.credit = RETRY_CREDIT
         if self.release is not None:
             self.steering.releases["desk"] = self.release
+        if self.usual_ms is not None:
+            self.steering.baseline_latency.record(ROUTE.name, self.usual_ms)
         await anyio.sleep(0.1)
         async with anyio.create_task_group() as group:
             if self.room_after_s is not None:
@@ -126,10 +130,15 @@
     context.scene.run(ms)
 
 
-@when("its caller gives it a tenth of its route's timeout")
-def step_book_shortly(context):
-    context.scene.route_timeout_ms = 1_000
-    context.scene.run(100)
+@given("the old version usually responds within {ms:d} ms")
+def step_usual_latency(context, ms):
+    context.scene.usual_ms = ms
+
+
+@when("its caller gives it {ms:d} ms of a timeout of {timeout_ms:d}")
+def step_book_shortly(context, ms, timeout_ms):
+    context.scene.route_timeout_ms = timeout_ms
+    context.scene.run(ms)
 
 
 @then("{count:d} bad responses count against its version, and none against the server")
--- a/tests/unit/ingress/attempts_together.feature
+++ b/tests/unit/ingress/attempts_together.feature
@@ -36,13 +36,18 @@
     Then the caller has the whole answer of a server
 
   # Review, case 7: a version that was slower than a route's timeout gave no evidence and was released to all.
-  Scenario Outline: a booking whose time runs out at a server <counts> against its version, where <case>
+  # Issue 54: so was one that was slower than its callers' own deadlines, which were shorter.
+  Scenario Outline: a booking that ends unanswered at a server <counts> against its version, where <case>
     Given a server of a service that is being released, which never answers bookings
+    And the old version usually responds within <usual> ms
     When <case>
     Then <count> bad responses count against its version, and none against the server
 
     Examples:
-      | case                                                | counts         | count |
-      | it is given 300 ms                                  | counts         | 1     |
-      | it is given 300 ms and its caller leaves after 100  | does not count | 0     |
-      | its caller gives it a tenth of its route's timeout  | does not count | 0     |
+      | case                                               | usual | counts         | count |
+      | it is given 300 ms                                 | 100   | counts         | 1     |
+      | its caller gives it 300 ms of a timeout of 3000    | 100   | counts         | 1     |
+      | its caller gives it 300 ms of a timeout of 3000    | 900   | does not count | 0     |
+      | its caller gives it 60 ms of a timeout of 600      | 200   | does not count | 0     |
+      | it is given 900 ms and its caller leaves after 300 | 100   | counts         | 1     |
+      | it is given 300 ms and its caller leaves after 100 | 200   | does not count | 0     |
