Count a server's timeout at the deadline like any wait that ran out

A server's own 504 at the deadline, which arrives in time from near servers only, always counted. And a route without any evidence on the old version was compared with none.

Change: a wait of 0.8 of the route's timeout counts in any case, at both versions. A 504 at the deadline that the server was told counts like a wait of that time; an earlier one is a failure as before. A route is judged once the old version has evidence on it, if it has any.

Evidence: unit/steering/releases, 'requests on one route last longer' and 'not used says nothing', and unit/ingress/attempts_together, 'a server's timeout', fail before.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/server_exchange.py
@@ -6,6 +6,7 @@
 
 import math
 from collections.abc import Callable
+from http import HTTPStatus
 
 import anyio
 from loguru import logger
@@ -50,6 +51,8 @@
 # Idle connections are dropped this long before the idle timeout that the server announced.
 IDLE_CLOSE_MARGIN_MS = 1_000
 MIN_SERVER_ERROR_STATUS = 500
+# A server's timeout this long before the deadline that it was told counts as one at the deadline.
+DEADLINE_TOLERANCE_MS = 10
 # The attempt fails after this much of late responses to earlier requests on the same connection; a
 # faulty server may send them without end.
 MAX_STALE_BYTES = 131_072
@@ -240,13 +243,11 @@
             return
         if connection.reused:
             self.connection_pool.record_live_connection(pick.server.registration.address)
-        self._classify_response(
-            request.pick_request, attempt, response_metadata, response, started_ms
-        )
+        self._classify_response(request, attempt, response_metadata, response, started_ms)
 
     def _classify_response(
         self,
-        pick_request: PickRequest,
+        request: OutgoingRequest,
         attempt: Attempt,
         response_metadata: ResponseMetadata,
         response: BufferedResponse,
@@ -257,8 +258,14 @@
         valid = response_metadata.signed and not any(
             name == b"content-encoding" for name, _ in response.headers
         )
+        remaining_ms = request.server_deadline_ms - self.clock.now_ms()
         self._record_response(
-            pick_request, attempt, failed=failed or not valid, started_ms=started_ms
+            request.pick_request,
+            attempt,
+            failed=failed or not valid,
+            started_ms=started_ms,
+            timed_out=response.status == HTTPStatus.GATEWAY_TIMEOUT
+            and remaining_ms <= DEADLINE_TOLERANCE_MS,
         )
         if not valid:
             logger.warning(
@@ -285,7 +292,13 @@
         self._record_response(pick_request, attempt, failed=True, started_ms=started_ms)
 
     def _record_response(
-        self, pick_request: PickRequest, attempt: Attempt, *, failed: bool, started_ms: int
+        self,
+        pick_request: PickRequest,
+        attempt: Attempt,
+        *,
+        failed: bool,
+        started_ms: int,
+        timed_out: bool = False,
     ) -> None:
         """Record the end of an attempt, whose silence may have been recorded as a failure."""
         latency_ms = self.clock.now_ms() - started_ms
@@ -300,6 +313,7 @@
             failed=failed,
             latency_ms=latency_ms,
             now_ms=self.clock.now_ms(),
+            timed_out=timed_out,
         )
 
     async def _send_request(
--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -58,6 +58,8 @@
 # this multiple of the route's objective: objects new to a server take a few times longer.
 SLOW_RESPONSE_RATIO = 4.0
 SLOW_OBJECTIVE_RATIO = 1.5
+# A request for which a server had this share of its route's timeout is overdue at any version.
+OVERDUE_TIMEOUT_SHARE = 0.8
 
 
 class VersionPreference(NamedTuple):
@@ -275,6 +277,9 @@
             counts.old_requests += item.old_requests
             counts.old_bad += item.old_bad
     for route, counts in by_route.items():
+        if total.old_requests and not counts.old_requests:
+            # Requests on this route may fail at either version.
+            continue
         if is_regression(counts):
             return (
                 f"{route}: {counts.new_bad} of {counts.new_requests} responses bad, "
@@ -306,16 +311,18 @@
         mean_ms = self.mean_ms_by_route.get(route, latency_ms)
         self.mean_ms_by_route[route] = mean_ms + LATENCY_WEIGHT * (latency_ms - mean_ms)
 
-    def usual_ms(self, route: Route) -> float:
-        """Return the time in which the old version usually responds.
+    def is_overdue(self, route: Route, has_affinity: bool, waited_ms: float) -> bool:
+        """Tell whether the old version would usually have responded after a wait.
 
-        On a sticky route a server takes longer for objects that are new to it, for which the
-        objective allows. It stands in for the mean until the old version has responded here.
+        The objective allows for the longer time that servers take with objects new to them, which
+        ``has_affinity`` stands for, and is the measure until the old version has responded here.
         """
+        if waited_ms >= OVERDUE_TIMEOUT_SHARE * route.timeout_ms:
+            return True
         mean_ms = self.mean_ms_by_route.get(route.name)
-        if mean_ms is None:
-            return route.objective_ms
-        return max(mean_ms, route.objective_ms) if route.sticky else mean_ms
+        if mean_ms is None or has_affinity:
+            return waited_ms >= max(mean_ms or 0.0, route.objective_ms)
+        return waited_ms >= mean_ms
 
     def is_slow(self, route: str, latency_ms: float, objective_ms: int) -> bool:
         """Tell whether a response is several times slower than the baseline."""
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -186,9 +186,19 @@
                 state.eject(now_ms)
 
     def record_response(
-        self, request: PickRequest, pick: Pick, *, failed: bool, latency_ms: float, now_ms: int
+        self,
+        request: PickRequest,
+        pick: Pick,
+        *,
+        failed: bool,
+        latency_ms: float,
+        now_ms: int,
+        timed_out: bool = False,
     ) -> None:
-        """Record the outcome of a dispatch, for placement and as evidence on a release."""
+        """Record the outcome of a dispatch, for placement and as evidence on a release.
+
+        ``timed_out`` means that the server failed the request because its time had passed.
+        """
         service, route = request.service, request.route
         cold = pick.server.is_cold(now_ms)
         slow = self.baseline_latency.is_slow(route.name, latency_ms, route.objective_ms)
@@ -200,7 +210,9 @@
         if not failed and not pick.new_version:
             self.baseline_latency.record(route.name, latency_ms)
         release = pick.release
-        if release is not None:
+        if timed_out:
+            self.record_unanswered(request, pick, waited_ms=latency_ms, now_ms=now_ms)
+        elif release is not None:
             release.record_response(route.name, pick.new_version, failed or (slow and not cold))
             self._evaluate_release(release, now_ms)
         if failed:
@@ -224,7 +236,7 @@
         release, route = pick.release, request.route
         if release is None or pick.server.is_cold(now_ms):
             return
-        if waited_ms >= self.baseline_latency.usual_ms(route):
+        if self.baseline_latency.is_overdue(route, request.has_affinity, waited_ms):
             release.record_response(route.name, pick.new_version, True)
             self._evaluate_release(release, now_ms)
 
--- a/tests/steps/together_steps.py
+++ b/tests/steps/together_steps.py
@@ -34,6 +34,9 @@
                 value = {"keep-alive": "timeout={}", "x-server-load": "1,{},4"}[name]
                 head = OK_HEAD.format(id=request_id) + f"{name}: {value.format('9' * 5_000)}\r\n"
                 await self.send(stream, head + "content-length: 2\r\n\r\nno")
+            elif self.behaviour.startswith("times out after "):
+                await anyio.sleep(int(self.behaviour.split()[3]) / 1000)
+                await self.send(stream, self.make_response(request_id, 504))
             elif self.behaviour == "late bytes":
                 head = OK_HEAD.format(id="earlier") + "content-length: 70000\r\n\r\n"
                 await self.send(stream, head + "x" * 70_000)
@@ -130,6 +133,14 @@
     context.scene.run(ms)
 
 
+@given("a server of a service that is being released, which answers 504 after {ms:d} ms")
+def step_server_timeout(context, ms):
+    scene = context.scene = TogetherScene()
+    scene.kind = RequestKind.UNSAFE
+    scene.add(f"times out after {ms} ms", MANY_SLOTS)
+    scene.release = Release(ReleaseOrder("desk", "v2", 600_000, 1), Bounds(), 0)
+
+
 @given("the old version usually responds within {ms:d} ms")
 def step_usual_latency(context, ms):
     context.scene.usual_ms = ms
@@ -141,6 +152,12 @@
     context.scene.run(ms)
 
 
+@then("{count:d} bad responses count against its version")
+def step_bad_responses_alone(context, count):
+    counts = context.scene.release.route_counts.values()
+    assert sum(item.old_bad for item in counts) == count, [vars(item) for item in counts]
+
+
 @then("{count:d} bad responses count against its version, and none against the server")
 def step_bad_responses(context, count):
     counts = context.scene.release.route_counts.values()
--- a/tests/unit/ingress/attempts_together.feature
+++ b/tests/unit/ingress/attempts_together.feature
@@ -51,3 +51,16 @@
       | its caller gives it 60 ms of a timeout of 600      | 200   | does not count | 0     |
       | it is given 900 ms and its caller leaves after 300 | 100   | counts         | 1     |
       | it is given 300 ms and its caller leaves after 100 | 200   | does not count | 0     |
+
+  # Issue 54: a server's own timeout counted in full, and a wait for a distant server that ran out as long did not.
+  Scenario Outline: a server's timeout after <ms> of 300 ms counts like a wait of that time, where the old version usually takes <usual> ms
+    Given a server of a service that is being released, which answers 504 after <ms> ms
+    And the old version usually responds within <usual> ms
+    When its caller gives it 300 ms of a timeout of 3000
+    Then <count> bad responses count against its version
+
+    Examples:
+      | ms  | usual | count |
+      | 280 | 100   | 1     |
+      | 280 | 900   | 0     |
+      | 20  | 900   | 1     |
--- a/tests/unit/steering/releases.feature
+++ b/tests/unit/steering/releases.feature
@@ -22,6 +22,51 @@
       | on one route  |
       | by being slow |
 
+  # Issue 54: a version was released that ran out of its callers' time, which was less than the route's.
+  Scenario Outline: a version that is slower than callers wait is rolled back, where they wait <waits> ms
+    Given a release within 16 s on 6 VMs, 300 requests a second
+    And callers who wait <waits> ms for servers that work 200 ms
+    When the new version works 8 times as long on one route
+    Then it is rolled back
+    And it got at most a tenth of the requests plus 50
+
+    Examples:
+      | waits            |
+      | 4000             |
+      | 700              |
+      | 450              |
+      | 100 or 450       |
+      | 250 or 700 or 50 |
+
+  # Issue 54: requests that take longer than their route's timeout counted against the new version alone.
+  Scenario Outline: a good version is released though requests on one route last longer than the <waits> ms that callers wait
+    Given a release within 16 s on 6 VMs, 300 requests a second
+    And a route on which callers wait <waits> ms, and both versions take longer
+    When the new version is good
+    Then it has succeeded within 16 s
+
+    Examples:
+      | waits |
+      | 100   |
+      | 400   |
+      | 4000  |
+
+  Scenario: a route on which the old version is not used says nothing on a release
+    Given no response of the old version on a route is known
+    Then failures of the new version on that route are no regression, but its share of all is
+
+  Scenario Outline: good versions of services that work <kind> <ms> ms are released
+    Given a release within 12 s on 6 VMs, 200 requests a second
+    When 15 good versions are released, of services that work <kind> <ms> ms
+    Then none of them is rolled back
+
+    Examples:
+      | kind           | ms  |
+      | always         | 5   |
+      | evenly around  | 200 |
+      | often far from | 200 |
+      | mostly near    | 20  |
+
   Scenario: equal failures of both versions do not roll the release back
     Given 9 VMs, 300 requests a second and a release within 12 s
     When a third of the responses of both versions fail
