Keep a release at its step while its new version responds to nothing

Found by listing what takes silence for good news: after the canary, steps followed by time alone, and the last one was complete when nobody used the old version. A connection that can't be opened and a refusal that says "not run" are no evidence, so a version whose servers all went away in the meantime was released, and the platform stops the old servers then.

Change: a step is left, and the release completed, only if the new version has responded to some VM since the step began, or the driving VM has sent it nothing. A count that falls because a VM ended starts anew.

Evidence: unit/steering/releases, 'a release at step <step>', three of seven rows fail before; the others keep a release without traffic on its way.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -89,7 +89,9 @@
     """The progress of one release order as this VM sees it.
 
     ``service_ms`` is the mean time to serve a request of the service. The order is known by its
-    present revision since ``adopted_ms``.
+    present revision since ``adopted_ms``. ``new_choices`` requests on this VM were to go to the new
+    version since the step began, and ``responses_at_step`` is how many responses of that version
+    all VMs had by then, None if they were not counted yet.
     """
 
     def __init__(self, order: ReleaseOrder, bounds: Bounds, now_ms: int) -> None:
@@ -101,6 +103,8 @@
         self.rolled_back = False
         self.succeeded = False
         self.new_version_credit = 0.0
+        self.new_choices = 0
+        self.responses_at_step: int | None = None
         self.old_in_flight = 0
         self.route_counts: dict[str, RouteCounts] = {}
         self.service_ms = 0.0
@@ -141,6 +145,7 @@
         self.new_version_credit = min(1.0, self.new_version_credit) + self.current_share()
         if self.new_version_credit < 1 or not self._is_eligible(object_key):
             return VersionPreference(False, False)
+        self.new_choices += 1
         return VersionPreference(True, self.step < LAST_STEP)
 
     def return_credit(self) -> None:
@@ -203,7 +208,7 @@
         for report in reports:
             self.started_ms = min(self.started_ms, now_ms - report.elapsed_ms)
             if report.step > self.step:
-                self.step, self.step_started_ms = report.step, now_ms
+                self._begin_step(report.step, None, now_ms)
             if report.rolled_back and not self.succeeded:
                 self.rolled_back = True
         return before != (self.step, self.rolled_back)
@@ -227,12 +232,8 @@
         if now_ms - self.adopted_ms < ORDER_SPREAD_MS:
             return False
         elapsed_ms, duration_ms = self.elapsed_ms(now_ms), self.order.duration_ms
+        responses = self._count_new_responses(reports, now_ms)
         if self.step == 0:
-            responses = sum(
-                item.new_requests
-                for report in [self.make_report(now_ms), *reports]
-                for item in report.evidence
-            )
             due = (
                 elapsed_ms >= duration_ms * CANARY_DURATION_SHARE
                 and responses >= MIN_CANARY_RESPONSES
@@ -240,8 +241,9 @@
             due = due or (elapsed_ms >= duration_ms * CANARY_TIMEOUT_SHARE and responses > 0)
         else:
             due = now_ms - self.step_started_ms >= self.step_interval_ms()
+            due = due and self._new_version_responds(responses)
         if due:
-            self.step, self.step_started_ms = self.step + 1, now_ms
+            self._begin_step(self.step + 1, responses, now_ms)
         return due
 
     def is_complete(self, reports: list[ReleaseReport], now_ms: int) -> bool:
@@ -252,6 +254,8 @@
             return False
         if now_ms - self.adopted_ms < ORDER_SPREAD_MS:
             return False
+        if not self._new_version_responds(self._count_new_responses(reports, now_ms)):
+            return False
         reports_on_old_version = [
             report for report in reports if report.lowest_step < LAST_STEP or report.old_in_flight
         ]
@@ -259,6 +263,26 @@
             return True
         return self.elapsed_ms(now_ms) >= self.order.duration_ms * FORCED_END_SHARE
 
+    def _begin_step(self, step: int, responses: int | None, now_ms: int) -> None:
+        self.step, self.step_started_ms = step, now_ms
+        self.new_choices, self.responses_at_step = 0, responses
+
+    def _count_new_responses(self, reports: Iterable[ReleaseReport], now_ms: int) -> int:
+        return sum(
+            item.new_requests
+            for report in [self.make_report(now_ms), *reports]
+            for item in report.evidence
+        )
+
+    def _new_version_responds(self, responses: int) -> bool:
+        """Tell whether the new version has responded in this step, or was not asked to.
+
+        ``responses`` is the count of all its responses, which falls when a VM ends.
+        """
+        if self.responses_at_step is None or responses < self.responses_at_step:
+            self.responses_at_step = responses
+        return responses > self.responses_at_step or not self.new_choices
+
     def state(self) -> ReleaseState:
         """Return the state to report to operators."""
         if self.rolled_back:
--- a/tests/steps/steered_release_steps.py
+++ b/tests/steps/steered_release_steps.py
@@ -284,6 +284,29 @@
     context.fleet_model = SimulatedFleet(*context.fleet_arguments, service)
 
 
+@given("a release at step {step:d} whose new version {behaviour} since the step began")
+def step_release_at_step(context, step, behaviour):
+    release = context.release = Release(ReleaseOrder("desk", "v2", 16_000, 7), Bounds(), 0)
+    release.service_ms = OLD_VERSION_LATENCY_MS
+    release.record_response("reads", True, False)
+    while release.step < step:
+        release.step_started_ms -= 10_000
+        release.record_response("reads", True, False)
+        assert release.advance([], 11_000)
+    if behaviour != "is not asked":
+        while not release.choose_version().prefer_new:
+            pass
+    if behaviour == "responds":
+        release.record_response("reads", True, False)
+
+
+@then("after 5 s it {outcome}")
+def step_step_outcome(context, outcome):
+    release = context.release
+    moved = release.advance([], 16_000) or release.is_complete([], 16_000)
+    assert moved == (outcome == "goes on"), vars(release)
+
+
 @given("no response of the old version on a route is known")
 def step_no_old_response(context):
     context.evidence = [RouteEvidence("reads", 50, 1, 600, 10), RouteEvidence("scans", 5, 5, 0, 0)]
--- a/tests/unit/steering/releases.feature
+++ b/tests/unit/steering/releases.feature
@@ -118,6 +118,21 @@
     When the release is at the step with 40% of the requests
     Then the new version may use 8 of its servers, the first ones among them
 
+  # Issue 54: steps went on by time alone, so that a version was released whose servers had all gone meanwhile.
+  Scenario Outline: a release at step <step> <outcome> while its new version <behaviour>
+    Given a release at step <step> whose new version <behaviour> since the step began
+    Then after 5 s it <outcome>
+
+    Examples:
+      | step | behaviour        | outcome |
+      | 1    | does not respond | stays   |
+      | 3    | does not respond | stays   |
+      | 4    | does not respond | stays   |
+      | 1    | responds         | goes on |
+      | 4    | responds         | goes on |
+      | 1    | is not asked     | goes on |
+      | 4    | is not asked     | goes on |
+
   Scenario Outline: a step of a release lasts until its first responses are known
     Given a release within 16 s of a service whose requests take <ms> ms
     Then each step lasts at least <least> ms, and all steps end in time
