Take the start of a server that states none for a late one

Found by listing what takes a missing fact for good news: an entry without "born" counted as a server that started first, so that its version became the stable one on VMs that start, and was corrected to on the others.

Change: an unknown start comes after every known one. Evidence: unit/steering/rows, 'a server of "v10" states no start', fails before.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/routing_state.py
@@ -29,6 +29,8 @@
 # remaining warm-up time of their own.
 POST_EVACUATION_COLD_MS = 2_500
 RELEASED_STARTED_MS = -1
+# Start of a server that states none: later than any other.
+UNKNOWN_STARTED_MS = 2**63
 # How long after a server's departure the last request to it is reported.
 DEPARTURE_REPORT_MS = 5_000
 
@@ -288,8 +290,9 @@
         for state in self.servers.values():
             registration = state.registration
             if registration.service == service:
-                earliest_ms = started_ms.get(registration.version, registration.started_ms)
-                started_ms[registration.version] = min(earliest_ms, registration.started_ms)
+                own_ms = registration.started_ms or UNKNOWN_STARTED_MS
+                earliest_ms = started_ms.get(registration.version, own_ms)
+                started_ms[registration.version] = min(earliest_ms, own_ms)
         return started_ms
 
     def _apply_configuration(self, row: Row) -> None:
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -1150,6 +1150,11 @@
     context.release_rows = []
 
 
+@when('a server of "{version}" states no start')
+def step_no_start(context, version):
+    context.release_rows = [version_row("c0", version, 0)]
+
+
 @when('a release to "{to}" is ordered')
 def step_order_row(context, to):
     context.release_rows = make_release_rows(to, None)
--- a/tests/unit/steering/rows.feature
+++ b/tests/unit/steering/rows.feature
@@ -118,6 +118,7 @@
       | a release to "v10" has been rolled back       | v9     |
       | a release to "v10" has succeeded              | v10    |
       | a release to "v9" succeeded before            | v9     |
+      | a server of "v10" states no start             | v9     |
 
   Scenario: a version keeps its requests when its servers restart after those of a new version started
     Given a routing state with a server in "a"
