Refuse a request that repeats a field of which only one can hold

Two hosts, keys or deadlines were likewise read by one of them.

Change: such a request is refused with 400 before anything is sent.

--- a/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/app.py
@@ -211,6 +211,8 @@
     # Admission
 
     async def _admit(self, exchange: CallerExchange) -> AdmittedRequest | Refusal:
+        if exchange.metadata.ambiguous:
+            return Refusal(RefusalKind.MALFORMED)
         routing_state = self.steering.routing_state
         configuration = routing_state.configuration
         if configuration is None:
--- a/packages/berylbankd/src/berylbankd/_internal/ingress/codec.py
+++ b/packages/berylbankd/src/berylbankd/_internal/ingress/codec.py
@@ -14,7 +14,7 @@
     """What the headers of a caller's request say.
 
     ``key`` is the API key. ``deadline_ms`` is how long the caller waits for the response, None if
-    it sent no deadline.
+    it sent no deadline. ``ambiguous`` means that a field is repeated of which only one can hold.
     """
 
     request_id: bytes
@@ -22,6 +22,7 @@
     key: str
     object_key: str
     deadline_ms: int | None
+    ambiguous: bool = False
 
 
 class ReportedLoad(NamedTuple):
--- a/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+from collections import Counter
 
 from berylbank._internal.utils.http_headers import HOP_BY_HOP_HEADERS, connection_options
 from berylbankd._internal.ingress.codec import (
@@ -25,6 +26,14 @@
         b"content-length",
     }
 )
+# Headers of which a caller's request has one at most. A backend server may take another one of
+# several than this VM does.
+SINGLE_HEADERS = (
+    names.REQUEST_ID_HEADER,
+    names.API_KEY_HEADER,
+    names.DEADLINE_MS_HEADER,
+    b"host",
+)
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 # Longer numbers are invalid: the interpreter refuses to convert those of thousands of digits, and
@@ -39,12 +48,14 @@
     def decode_request(self, headers: HeaderList) -> RequestMetadata:
         """Decode the headers of a caller's request."""
         by_name = dict(headers)
+        counts = Counter(name for name, _ in headers)
         return RequestMetadata(
             request_id=by_name.get(names.REQUEST_ID_HEADER, b""),
             host=by_name.get(b"host", b"").decode("latin-1").lower(),
             key=by_name.get(names.API_KEY_HEADER, b"").decode("latin-1"),
             object_key=_parse_object_key(by_name.get(b"cookie", b"")),
             deadline_ms=_parse_integer(by_name.get(names.DEADLINE_MS_HEADER)),
+            ambiguous=any(counts[name] > 1 for name in SINGLE_HEADERS),
         )
 
     def encode_request(self, headers: HeaderList, metadata: DispatchMetadata) -> HeaderList:
--- a/tests/steps/together_steps.py
+++ b/tests/steps/together_steps.py
@@ -58,6 +58,7 @@
         self.release = None
         self.reported_load = None
         self.usual_ms = None
+        self.extra_headers = []
 
     def add(self, behaviour, slots=4, version="v1"):
         self.servers.append(TogetherServer(f"server {len(self.servers)}", behaviour))
@@ -90,6 +91,7 @@
                 group.start_soon(self._make_room)
             for number in range(self.callers):
                 scope = make_scope(f"r{number}", "GET", wait_ms)
+                scope["headers"] = [*self.extra_headers, *scope["headers"]]
                 group.start_soon(self.app, scope, self.caller.receive, self.caller.send)
             if self.reported_load is not None:
                 await anyio.sleep(0.1)
@@ -213,6 +215,21 @@
     assert len(server.request_ids) <= share * count + 1, (len(server.request_ids), share)
 
 
+@when("a request has a second {name}, which says {value}")
+def step_repeated_field(context, name, value):
+    context.scene = TogetherScene()
+    context.scene.add("answers")
+    context.scene.extra_headers = [(name.encode(), value.encode())]
+    context.scene.run(1_000)
+
+
+@then("it is refused as malformed, and no server gets it")
+def step_malformed(context):
+    status, body = find_answer(context.scene)
+    assert status == 400, (status, body)
+    assert not context.scene.servers[0].request_ids
+
+
 @then("the caller has the answer of the server at work")
 def step_answer_at_work(context):
     status, body = find_answer(context.scene)
