Refuse a request whose target names another host than its header

The protocol lets a proxy believe the target; nothing here needs either reading.

Change: 400 before anything is sent, if the two differ. Evidence: unit/connections/requests, 'names another host', fails before; a target of the same host is served as it was.

--- a/packages/berylbankd/src/berylbankd/_internal/http_server.py
+++ b/packages/berylbankd/src/berylbankd/_internal/http_server.py
@@ -276,6 +276,9 @@
         if length is not None and length > self.budget.limits.max_body_bytes:
             self.refuse(RefusalKind.BODY_TOO_LARGE)
             return
+        if not _names_host(self.url, fields.get(b"host", b"")):
+            self.refuse(RefusalKind.MALFORMED)
+            return
         if not self.budget.admit(self):
             self.refuse(RefusalKind.CALLERS_HOLD_TOO_MUCH)
             return
@@ -512,6 +515,15 @@
 }
 
 
+def _names_host(target: bytes, host: bytes) -> bool:
+    """Tell whether a request's target is a path, or a URL of the host that its header names."""
+    scheme, separator, rest = target.partition(b"://")
+    if not separator or b"/" in scheme:
+        return True
+    authority = rest.partition(b"/")[0].partition(b"?")[0]
+    return authority.lower() == host.lower()
+
+
 def make_refusal_response(refusal: Refusal, request_id: str) -> bytes:
     """Return the whole response that refuses a request and ends its connection."""
     body = refusal.make_body(request_id)
--- a/tests/steps/connection_request_steps.py
+++ b/tests/steps/connection_request_steps.py
@@ -118,6 +118,17 @@
     context.arrived, context.received = exchange([head], 1)
 
 
+@when('a request has the target "{target}"')
+def step_target(context, target):
+    step_line(context, f"GET {target} HTTP/1.1")
+
+
+@then('it arrived with the path "{path}"')
+def step_path(context, path):
+    ((_, raw_path, _, _),) = context.arrived
+    assert raw_path == path.encode(), context.arrived
+
+
 @then("it is refused with status {status:d}, and nothing arrived")
 def step_nothing(context, status):
     assert context.received[0].status == status, context.received
--- a/tests/unit/connections/requests.feature
+++ b/tests/unit/connections/requests.feature
@@ -20,6 +20,15 @@
     When a caller sends "GET gopher://[::1 HTTP/1.1"
     Then it is refused with status 400, and nothing arrived
 
+  # Issue 50: the route was that of the header's host, and the target's authority was dropped.
+  Scenario: a request whose target names another host than its header is refused
+    When a caller sends "GET http://other.example/x HTTP/1.1"
+    Then it is refused with status 400, and nothing arrived
+
+  Scenario: a request whose target names the host of its header is served
+    When a request has the target "http://A/x?u=http://other"
+    Then it arrived with the path "/x"
+
   Scenario: requests that are cut at any place arrive unchanged and in order
     Then any requests, sent in any parts, arrive unchanged and are answered in order
 
