--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -22,7 +22,6 @@
     TableSnapshot,
 )
 from berylbankd._internal.models.types import (
-    BackendServer,
     CallerLimits,
     Configuration,
     Organisation,
@@ -64,7 +63,7 @@
 from berylbankd._internal.steering.servers import ServerState
 from berylbankd._internal.steering.steering import Steering
 from berylbankd._internal.steering.warmup import ColdServerBucket, find_owner
-from tests.support.steering import ROW_CODEC, make_deployment, server_row
+from tests.support.steering import ROW_CODEC, make_deployment, make_registration, server_row
 
 SEED = 20261204
 TICK_INTERVAL_MS = 250
@@ -75,19 +74,6 @@
 )  # fmt: skip
 
 
-def make_registration(server_id="s0", domain="a", slots=4, **fields):
-    values = {
-        "address": "10.0.0.1:80",
-        "service": "desk",
-        "version": "v1",
-        "draining": False,
-        "warmup_left_ms": 0,
-        "sequence": 1,
-        "started_ms": 1,
-    }
-    return BackendServer(id=server_id, failure_domain=domain, slots=slots, **{**values, **fields})
-
-
 def make_query(object_key, domain="", tried=(), queue=1.0):
     return PlacementQuery(object_key, domain, frozenset(tried), queue)
 
--- a/tests/support/steering.py
+++ b/tests/support/steering.py
@@ -4,6 +4,7 @@
 
 from berylbankd._internal.models.deployment import Bounds, Deployment
 from berylbankd._internal.models.rows import Row, RowKey
+from berylbankd._internal.models.types import BackendServer
 from berylbankd._internal.platform.row_codec import PlatformRowCodec
 
 ROW_CODEC = PlatformRowCodec()
@@ -28,3 +29,16 @@
         name, host, domain, regions[domain], regions, f"{host}:80", "", "", 1, 2, (), "", 300,
         1.0, 1000.0, Bounds(),
     )  # fmt: skip
+
+
+def make_registration(server_id="s0", domain="a", slots=4, **fields):
+    values = {
+        "address": "10.0.0.1:80",
+        "service": "desk",
+        "version": "v1",
+        "draining": False,
+        "warmup_left_ms": 0,
+        "sequence": 1,
+        "started_ms": 1,
+    }
+    return BackendServer(id=server_id, failure_domain=domain, slots=slots, **{**values, **fields})
