--- a/tests/unit/feeds/readers.feature
+++ b/tests/unit/feeds/readers.feature
@@ -33,6 +33,20 @@
     Then a VM that is served reads it within 2.0 s each time
     And 6 s later all VMs see the same 2 readers
 
+  Scenario Outline: a store that turns readers away is soon read by VMs that had no call since a restart of all <vms> VMs
+    Given <vms> VMs in 9 failure domains that read a store
+    When all VMs are killed and start again 500 ms later
+    Then 6 s later all VMs see the same 2 readers
+    When the store <fault> both readers and 35% of the other VMs, 3 times
+    Then a VM that is served reads it within <seconds> s each time
+    And at most 24 VMs call the store each time
+
+    Examples:
+      | vms | fault                         | seconds |
+      | 12  | no longer answers             | 2.0     |
+      | 82  | resets the connections of     | 1.0     |
+      | 82  | no longer answers             | 2.0     |
+
   Scenario: a VM that was no reader for some time follows the store as soon as the readers fail
     Given a VM beside two live readers that rank before it
     When it runs for 1.5 s and the readers then state that the store does not answer them
