Keep the round trip in what counts as slow where servers know their objects

Cause: since such a response was slow beyond 4 times what servers take, without the way of some 70 ms. Nothing had asked for it on these routes.

Change: on requests for an object, 4 times the mean latency and 1.5 objectives of the whole latency count again, as before. Other requests keep the measure without the way.

--- a/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/releases.py
@@ -61,7 +61,8 @@
 SLOW_RESPONSE_DEVIATIONS = 5.0
 MIN_SLOW_OBJECTIVE_SHARE = 0.1
 # Where servers are faster on objects that they handled recently, new ones take a few times longer:
-# a response is slow if it exceeds these multiples of the mean and of the route's objective.
+# a response is slow if its latency exceeds these multiples of the mean latency and of the route's
+# objective.
 SLOW_OBJECT_RATIO = 4.0
 SLOW_OBJECTIVE_RATIO = 1.5
 # A request for which a server had this share of its route's timeout is overdue at any version.
@@ -331,28 +332,35 @@
 
 
 class RouteLatency(NamedTuple):
-    """Mean and mean absolute deviation of the latencies on a route, in ms."""
+    """Mean latency on a route, and mean and mean absolute deviation of what servers take of it.
 
+    All are in ms.
+    """
+
+    latency_ms: float
     mean_ms: float
     deviation_ms: float
 
 
 class BaselineLatency:
-    """What the old version's servers take by route, the baseline for detecting slow responses.
+    """Latency of the old version by route, the baseline for detecting slow responses.
 
-    Times are those of the servers: without the round trip, which would hide a slow version from
-    distant VMs, and make one look slow whose servers are farther away.
+    What the servers take of it is known apart from the round trip, which would hide a slow version
+    from distant VMs, and make one look slow whose servers are farther away.
     """
 
     def __init__(self) -> None:
         self.latency_by_route: dict[str, RouteLatency] = {}
 
-    def record(self, route: str, server_ms: float) -> None:
-        """Record a response of the old version."""
-        mean_ms, deviation_ms = self.latency_by_route.get(route, RouteLatency(server_ms, 0.0))
-        deviation_ms += LATENCY_WEIGHT * (abs(server_ms - mean_ms) - deviation_ms)
-        mean_ms += LATENCY_WEIGHT * (server_ms - mean_ms)
-        self.latency_by_route[route] = RouteLatency(mean_ms, deviation_ms)
+    def record(self, route: str, latency_ms: float, server_ms: float) -> None:
+        """Record a response of the old version, and what the server took of its latency."""
+        known = self.latency_by_route.get(route, RouteLatency(latency_ms, server_ms, 0.0))
+        deviation_ms = abs(server_ms - known.mean_ms)
+        self.latency_by_route[route] = RouteLatency(
+            known.latency_ms + LATENCY_WEIGHT * (latency_ms - known.latency_ms),
+            known.mean_ms + LATENCY_WEIGHT * (server_ms - known.mean_ms),
+            known.deviation_ms + LATENCY_WEIGHT * (deviation_ms - known.deviation_ms),
+        )
 
     def is_overdue(
         self, route: Route, has_affinity: bool, waited_ms: float, server_ms: float
@@ -383,9 +391,9 @@
         if latency is None:
             return False
         if has_affinity:
-            return (
-                server_ms > SLOW_OBJECT_RATIO * latency.mean_ms
-                and latency_ms > SLOW_OBJECTIVE_RATIO * route.objective_ms
+            return latency_ms > max(
+                SLOW_OBJECT_RATIO * latency.latency_ms,
+                SLOW_OBJECTIVE_RATIO * route.objective_ms,
             )
         return server_ms > max(
             SLOW_RESPONSE_RATIO * latency.mean_ms,
--- a/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
+++ b/packages/berylbankd/src/berylbankd/_internal/steering/steering.py
@@ -213,7 +213,7 @@
             longest_ms = LONGEST_SERVICE_DECAY * self.longest_recent_ms.get(service, 0.0)
             self.longest_recent_ms[service] = max(latency_ms, longest_ms)
         if not failed and not pick.new_version:
-            self.baseline_latency.record(route.name, server_ms)
+            self.baseline_latency.record(route.name, latency_ms, server_ms)
         release = pick.release
         if timed_out:
             self.record_unanswered(request, pick, waited_ms=latency_ms, now_ms=now_ms)
--- a/tests/steps/together_steps.py
+++ b/tests/steps/together_steps.py
@@ -84,7 +84,7 @@
         if self.release is not None:
             self.steering.releases["desk"] = self.release
         if self.usual_ms is not None:
-            self.steering.baseline_latency.record(ROUTE.name, self.usual_ms)
+            self.steering.baseline_latency.record(ROUTE.name, self.usual_ms, self.usual_ms)
         await anyio.sleep(0.1)
         async with anyio.create_task_group() as group:
             if self.room_after_s is not None:
