Look for repeated headers only in requests that repeat any

Every request counted all of its headers anew, though the decoded ones already tell whether a name occurs twice. One step repeated the sum of another one.

--- a/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
+++ b/packages/berylbankd/src/berylbankd/_internal/platform/headers.py
@@ -2,7 +2,6 @@
 
 import math
 import re
-from collections import Counter
 
 from berylbank._internal.utils.http_headers import HOP_BY_HOP_HEADERS, connection_options
 from berylbankd._internal.ingress.codec import (
@@ -48,14 +47,13 @@
     def decode_request(self, headers: HeaderList) -> RequestMetadata:
         """Decode the headers of a caller's request."""
         by_name = dict(headers)
-        counts = Counter(name for name, _ in headers)
         return RequestMetadata(
             request_id=by_name.get(names.REQUEST_ID_HEADER, b""),
             host=by_name.get(b"host", b"").decode("latin-1").lower(),
             key=by_name.get(names.API_KEY_HEADER, b"").decode("latin-1"),
             object_key=_parse_object_key(by_name.get(b"cookie", b"")),
             deadline_ms=_parse_integer(by_name.get(names.DEADLINE_MS_HEADER)),
-            ambiguous=any(counts[name] > 1 for name in SINGLE_HEADERS),
+            ambiguous=len(by_name) < len(headers) and _repeats_single_header(headers),
         )
 
     def encode_request(self, headers: HeaderList, metadata: DispatchMetadata) -> HeaderList:
@@ -97,6 +95,11 @@
         return [(name, value) for name, value in headers if name not in dropped]
 
 
+def _repeats_single_header(headers: HeaderList) -> bool:
+    found = [name for name, _ in headers if name in SINGLE_HEADERS]
+    return len(found) > len(set(found))
+
+
 def _parse_object_key(cookie: bytes) -> str:
     """Return the value of the object key's cookie without quotes, or an empty string.
 
--- a/tests/steps/together_steps.py
+++ b/tests/steps/together_steps.py
@@ -162,8 +162,7 @@
 
 @then("{count:d} bad responses count against its version, and none against the server")
 def step_bad_responses(context, count):
-    counts = context.scene.release.route_counts.values()
-    assert sum(item.old_bad for item in counts) == count, [vars(item) for item in counts]
+    step_bad_responses_alone(context, count)
     assert context.scene.servers[0].request_ids, "no request was sent to the server"
     assert context.scene.servers[0].state.failures == 0
 
