--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# One instance names a very large `Server-Limit`; then one tenant sends more than its rate.
+cd "$(dirname "$0")" || exit 2
+exec python3 -B case.py
