--- a/review/harness-3/http_connection.py
+++ b/review/harness-3/http_connection.py
@@ -46,7 +46,6 @@
             await self.writer.drain()
 
 
-
 Answer = Callable[[Message, HttpServerConnection], Awaitable[None]]
 
 
--- a/review/harness-3/replaced_routes.py
+++ b/review/harness-3/replaced_routes.py
@@ -1,4 +1,4 @@
-"""A deployment whose operator replaces the routes of one service while clients of a region use them.
+"""A deployment whose operator replaces the routes of a service while clients of a region use them.
 
 Nine VMs in three regions serve two services. `catalogue` is released, and ends as `succeeded`. Then
 its routes are replaced by newer ones in three changes of the configuration. Clients in the north
--- a/review/harness-3/store.py
+++ b/review/harness-3/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 from typing import Any
@@ -103,10 +104,8 @@
             remaining_s = deadline_s - time.monotonic()
             if changes or remaining_s <= 0:
                 break
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), remaining_s)
-            except TimeoutError:
-                pass
         ordered = sorted(changes.items(), key=lambda item: item[1][1])
         rows = [encode_row(table, key, value, version) for key, (value, version) in ordered]
         return 200, {**self._stamp(), "rows": rows}
