--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -122,7 +122,6 @@
         self.work_s = 0.01
         self.running = self.waiting = 0
         self.free = asyncio.Semaphore(slots)
-        self.body_bytes = 0
         self.extra_headers: list[tuple[str, str]] = []
         self.runs: list[Run] = []
         self.bad_times: list[float] = []
@@ -173,11 +172,8 @@
             self.bad_times.append(self.record.now_s())
             self.record.write("BAD", id=request_id, instance=self.id)
         signed = [*echo, ("X-Server-Signature", f"s-{request_id}"), ("X-Server-Load", load)]
-        headers = [*signed, *self.extra_headers]
-        if self.body_bytes:
-            await connection.respond_long(headers, self.body_bytes)
-        else:
-            connection.respond(status, headers, b"body of " + request_id.encode())
+        body = b"body of " + request_id.encode()
+        connection.respond(status, [*signed, *self.extra_headers], body)
 
 
 class Fleet:
--- a/review/harness-3/http_connection.py
+++ b/review/harness-3/http_connection.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-PART = 65_536 * b"x"
 REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 412: "Precondition Failed"}
 
 
@@ -34,17 +33,6 @@
         lines += [f"Content-Length: {len(body)}", "", ""]
         self.writer.write("\r\n".join(lines).encode("latin-1") + body)
 
-    async def respond_long(self, headers: list[tuple[str, str]], size: int) -> None:
-        """Send a successful response with a long body, as fast as it is taken."""
-        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in headers]
-        lines += [f"Content-Length: {size}", "", ""]
-        self.writer.write("\r\n".join(lines).encode("latin-1"))
-        while size > 0:
-            part = PART[:size]
-            self.writer.write(part)
-            size -= len(part)
-            await self.writer.drain()
-
 
 Answer = Callable[[Message, HttpServerConnection], Awaitable[None]]
 
