--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,7 +14,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "harness-3"))
 
-from fleet import BOUNDS, Fleet, Instance, Record, Vm  # noqa: E402
+from fleet import BOUNDS, Fleet, Instance, Vm, play_case  # noqa: E402
 from replaced_routes import (  # noqa: E402
     HOLDS,
     HOST,
@@ -104,17 +104,5 @@
     return judge(fleet, bad, ordered_s, {request_id: sent_s for request_id, sent_s, _ in answers})
 
 
-def main() -> int:
-    """Play the case and end all processes."""
-    fleet = Fleet(Record(FOLDER / "record.txt"), ZONES)
-    try:
-        return asyncio.run(asyncio.wait_for(run(fleet), 112))
-    except Exception as error:  # the case could not run
-        fleet.record.say(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        fleet.end()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_case(FOLDER, ZONES, run))
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Routes come and go while a service has a release order; then a bad version of another service.
 cd "$(dirname "$0")" || exit 2
+[ -d ../../target/deps/berylbankd ] && [ -f ../harness-3/fleet.py ] || exit 2
 exec python3 -B case.py
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,7 @@
 """Shows whether a tenant gets more than its rate over all VMs together.
 
-One instance in the north names a very large `Server-Limit` in its answers. Then one tenant sends
-five times its rate through the VMs of the north. With TROUBLE=0 the instance names no limit.
+The routes of a service are replaced, as `replaced_routes` tells. Then one tenant sends five times
+its rate through the VMs of the north. With TROUBLE=0 the routes stay the same.
 """
 
 import asyncio
@@ -13,30 +13,21 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "harness-3"))
 
-from fleet import BOUNDS, Fleet, Record, Vm  # noqa: E402
+from fleet import BOUNDS, Fleet, Vm, play_case  # noqa: E402
 from replaced_routes import (  # noqa: E402
     BURST,
-    CATALOGUE,
     HOST,
-    KEY,
     LIMITED_KEY,
     LIMITED_TENANT,
-    NORTH,
     RATE_PER_S,
     ZONES,
-    count_directory,
     list_north,
-    route_prefix,
-    start_deployment,
+    replace_routes,
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SENT_PER_RATE = 5.0
 HOT_S = 14.0
-# Requests a second, as a decimal number; the page sets no bound for it.
-LIMIT = "1" + 39 * "0"
-LOOKUPS_PER_S = 20.0
-LOOKUPS_S = 24.0
 
 
 async def send_holds(fleet: Fleet, vm: Vm, per_s: float) -> list[tuple[str, float, int]]:
@@ -69,51 +60,18 @@
     return 1 if most > allowed else 0
 
 
-async def send_lookups(fleet: Fleet, vm: Vm) -> None:
-    """Let clients use `catalogue` through one VM."""
-    tasks = []
-    end_s = fleet.record.now_s() + LOOKUPS_S
-    while fleet.record.now_s() < end_s:
-        await asyncio.sleep(random.expovariate(LOOKUPS_PER_S))
-        path = route_prefix(1, random.randrange(20)) + "flitch"
-        request = fleet.send(vm, "GET", HOST, path, 1_500, {"X-Key": KEY})
-        tasks.append(asyncio.create_task(request))
-    await asyncio.gather(*tasks)
-
-
 async def run(fleet: Fleet) -> int:
     """Play the case; return the exit code."""
-    await start_deployment(fleet)
-    instances = fleet.instances.values()
-    named = next(item for item in instances if item.service == CATALOGUE and item.zone in NORTH)
-    if TROUBLE:
-        named.extra_headers = [("Server-Limit", LIMIT)]
-    lookups = [asyncio.create_task(send_lookups(fleet, vm)) for vm in fleet.vms.values()]
-    await asyncio.sleep(BOUNDS["contactS"] + 3)
-    fleet.record.say(f"{len(named.runs)} requests ran at {named.id}, in {named.zone}")
-    fleet.record.say(f"a directory names {await count_directory(fleet)} VMs of its zone")
+    await replace_routes(fleet, TROUBLE)
     north = list_north(fleet)
     per_s = RATE_PER_S * SENT_PER_RATE / len(north)
     fleet.record.say(f"a tenant with {RATE_PER_S}/s sends {per_s * len(north):.0f}/s")
     parts = await asyncio.gather(*(send_holds(fleet, vm, per_s) for vm in north))
-    await asyncio.gather(*lookups)
     answers = [answer for part in parts for answer in part]
     statuses = [status for *_, status in answers]
     fleet.record.say(f"answers: { {item: statuses.count(item) for item in sorted(set(statuses))} }")
     return judge(fleet, {request_id: sent_s for request_id, sent_s, _ in answers})
 
 
-def main() -> int:
-    """Play the case and end all processes."""
-    fleet = Fleet(Record(FOLDER / "record.txt"), ZONES)
-    try:
-        return asyncio.run(asyncio.wait_for(run(fleet), 112))
-    except Exception as error:  # the case could not run
-        fleet.record.say(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        fleet.end()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_case(FOLDER, ZONES, run))
--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -22,6 +22,12 @@
 STORE_HOST = "127.0.0.1"
 READY_TIMEOUT_S = 25.0
 CUT, GAVE_UP = 0, -1
+HEALTH_PATH = "/health"
+# A case ends after this time, also if it has not been played to its end.
+MAX_CASE_S = 112
+COULD_NOT_RUN = 2
+# The addresses of the stand-ins and of the VMs, on which a port must be free.
+LOOPBACK_HOSTS = [STORE_HOST, *(f"127.0.{net}.{n}" for net in (7, 8) for n in range(1, 10))]
 taken_ports: set[int] = set()
 # The bounds of one of the small deployments.
 BOUNDS = {
@@ -127,11 +133,19 @@
         self.bad_times: list[float] = []
         self.is_bad: Callable[[str], bool] = lambda _: False
         self.server: asyncio.Server | None = None
+        self.connections: set[HttpServerConnection] = set()
 
     async def start(self) -> None:
         """Listen for requests."""
         self.server = await start_server(STORE_HOST, self.port, self.answer)
 
+    def stop(self) -> None:
+        """Stop at once, without draining."""
+        assert self.server is not None
+        self.server.close()
+        for connection in self.connections:
+            connection.abort()
+
     def registration(self, state: str = "ready") -> dict[str, Any]:
         """Return the instance's entry in the store."""
         return {
@@ -150,9 +164,16 @@
         """Run one request, or turn it away."""
         request_id = request.headers.get("x-request-id", "")
         echo = [("X-Request-Id", request_id)]
-        if request.headers.get("x-expected-instance") != self.id:
+        self.connections.add(connection)
+        if request.target == HEALTH_PATH:
+            connection.respond(200, [("X-Instance-Id", self.id)], b"")
+            return
+        if request.headers.get("x-expected-instance", self.id) != self.id:
             connection.respond(421, echo, b"")
             return
+        if not request_id:
+            connection.respond(400, [("X-Not-Executed", "1")], b"")
+            return
         if self.waiting >= 3 * self.slots:
             connection.respond(503, [*echo, ("X-Not-Executed", "1")], b"")
             return
@@ -182,8 +203,7 @@
     def __init__(self, record: Record, zones: dict[str, str]) -> None:
         self.record = record
         self.zones = zones
-        # The VMs must not outlive a case that is ended from outside.
-        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+        self.kept_ids: set[str] = set()
         self.store = Store()
         self.store_port = free_port()
         self.instances: dict[str, Instance] = {}
@@ -235,7 +255,7 @@
             ["python3", "-m", "berylbankd", "steer"],
             stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=environment, cwd=ROOT,
         )  # fmt: skip
-        self.clients[vm.name] = HttpClient(vm.ip, self.ports["http"])
+        self.clients[vm.name] = HttpClient(vm.ip, self.ports["http"], self.kept_ids)
 
     async def wait_ready(self) -> None:
         """Wait until all VMs say that they are ready.
@@ -309,12 +329,35 @@
     """Return a port that is free on all loopback addresses, below those that clients get."""
     while True:
         port = random.randrange(15_000, 30_000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("0.0.0.0", port))
-            except OSError:
-                continue
-        if port not in taken_ports:
-            # The ports for the traffic between VMs follow the first one.
+        # The ports for the traffic between VMs follow the first one.
+        if port not in taken_ports and all(is_free(host, port) for host in LOOPBACK_HOSTS):
             taken_ports.update(range(port, port + 16))
             return port
+
+
+def is_free(host: str, port: int) -> bool:
+    """Tell whether nothing listens on a port of an address."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+def play_case(folder: Path, zones: dict[str, str], run: Callable[[Fleet], Awaitable[int]]) -> int:
+    """Play a case and end all processes, also if it is ended from outside; return the exit code."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
+    fleet: Fleet | None = None
+    try:
+        fleet = Fleet(Record(folder / "record.txt"), zones)
+        return asyncio.run(asyncio.wait_for(run(fleet), MAX_CASE_S))
+    except Exception as error:  # the case could not run
+        print(f"the case could not run: {error!r}", file=sys.stderr)
+        return COULD_NOT_RUN
+    finally:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
+        if fleet is not None:
+            fleet.end()
--- a/review/harness-3/http_connection.py
+++ b/review/harness-3/http_connection.py
@@ -26,6 +26,10 @@
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self.writer = writer
 
+    def abort(self) -> None:
+        """End the connection at once."""
+        self.writer.transport.abort()
+
     def respond(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
         """Send a complete response."""
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
@@ -83,9 +87,13 @@
 
 
 class HttpClient:
-    """Kept connections of clients to one address."""
+    """Kept connections of clients to one address.
+
+    ``kept_ids`` gets the ids of the requests that were sent on a connection that had been used.
+    """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, kept_ids: set[str] | None = None) -> None:
+        self.kept_ids = kept_ids if kept_ids is not None else set()
         self.host = host
         self.port = port
         self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
@@ -100,6 +108,7 @@
         """
         if self.idle:
             reader, writer = self.idle.pop()
+            self.kept_ids.add(headers.get("X-Request-Id", ""))
         else:
             reader, writer = await asyncio.open_connection(self.host, self.port)
         lines = [f"{method} {target} HTTP/1.1"]
--- a/review/harness-3/replaced_routes.py
+++ b/review/harness-3/replaced_routes.py
@@ -111,8 +111,7 @@
     """Stop the instances of a version, and remove their entries."""
     for instance in fleet.instances.values():
         if (instance.service, instance.version) == (service, version):
-            assert instance.server is not None
-            instance.server.close()
+            instance.stop()
             fleet.store.put("servers", instance.id, None)
 
 
