--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,6 @@
 """Shows whether a tenant gets more than its rate over all VMs together.
 
-The routes of a service are replaced, as `replaced_routes` tells. Then one tenant sends five times
+The routes of a service are replaced, as `replaced_routes` tells. Then one tenant sends four times
 its rate through the VMs of the north. With TROUBLE=0 the routes stay the same.
 """
 
@@ -26,8 +26,8 @@
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SENT_PER_RATE = 5.0
-HOT_S = 14.0
+SENT_PER_RATE = 4.0
+HOT_S = 6.5
 
 
 async def send_holds(fleet: Fleet, vm: Vm, per_s: float) -> list[tuple[str, float, int]]:
